--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+
+.PHONY: demo test bench build check generate
+
+# demo runs the whole path as separate processes on loopback.
+demo: build
+	$(GO) build -o bin/ ./standin/cmd/...
+	bin/demo
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -count=1 -timeout 20m work
+
+bench: build
+	$(GO) build -o bin/ ./standin/cmd/...
+	bin/bench
+
+check:
+	test -z "$$(gofmt -l $$(git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$'))"
+	$(GO) vet work
+	$(GO) tool staticcheck ./... ./declare/... ./standin/...
+
+generate:
+	protoc -I internal/peer/peerpb --go_out=internal/peer/peerpb --go_opt=paths=source_relative \
+		--twirp_out=internal/peer/peerpb --twirp_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/cmd/baobabsill/main.go
@@ -0,0 +1,4 @@
+// Command baobabsill is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/baobabsillctl/main.go
@@ -0,0 +1,4 @@
+// Command baobabsillctl is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,4 @@
+// Command demo is not wired yet.
+package main
+
+func main() {}
