--- /dev/null
+++ b/internal/once/janitor.go
@@ -0,0 +1,75 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// janitorInterval is short against KeyLifetime and long against the cost of a
+// list of all records.
+const janitorInterval = 15 * time.Minute
+
+// JanitorController removes records whose keys can no longer be settled.
+type JanitorController struct {
+	logger   *log.Logger
+	records  Records
+	isLeader func() bool
+}
+
+// NewJanitorController returns a controller that works only while isLeader
+// returns true. Two leaders at a time do no harm.
+func NewJanitorController(logger *log.Logger, records Records, isLeader func() bool) *JanitorController {
+	return &JanitorController{logger: logger, records: records, isLeader: isLeader}
+}
+
+// Run reconciles until ctx ends.
+func (c *JanitorController) Run(ctx context.Context) error {
+	ticker := time.NewTicker(janitorInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if c.isLeader() {
+			c.reconcile(ctx, time.Now())
+		}
+	}
+}
+
+func (c *JanitorController) reconcile(ctx context.Context, now time.Time) {
+	for _, kind := range []string{RecordKind, ClosedKind} {
+		items, _, err := c.records.List(ctx, kind)
+		if err != nil {
+			c.logger.Warn().Str("event", "once_janitor").Err(err).Msg("records not listed")
+			return
+		}
+		for _, obj := range items {
+			created, ok := createdAt(obj.Value)
+			if !ok || now.Sub(created) <= KeyLifetime {
+				continue
+			}
+			if err := c.records.Delete(ctx, kind, obj.Name, obj.Version); err != nil {
+				c.logger.Warn().Str("event", "once_janitor").Str("key", obj.Name).Err(err).Msg("record not removed")
+			}
+		}
+	}
+}
+
+// createdAt returns when a record or a closing object was written. An object
+// that cannot be decoded is kept, because its key may still be in use.
+func createdAt(value []byte) (time.Time, bool) {
+	var v struct {
+		CreatedUnixMs int64 `json:"created_unix_ms"`
+		ClosedUnixMs  int64 `json:"closed_unix_ms"`
+	}
+	if err := json.Unmarshal(value, &v); err != nil {
+		return time.Time{}, false
+	}
+	ms := max(v.CreatedUnixMs, v.ClosedUnixMs)
+	return time.UnixMilli(ms), ms > 0
+}
