Settle issued keys of a stopped instance by their records alone

Change: the list is removed; the closing object only says that each used key has a record. Measured: all tests of the package pass; writing the records under another name, or not asking for the closing object, makes TestKeysOfStoppedInstance fail (a request ran twice, or a gone sender's key ran).

--- a/internal/once/issued.go
+++ b/internal/once/issued.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
 
+// closeWriters bounds the writes at a time with which a process records its
+// issued keys, so that a stop does not use up the platform's write rate.
+const closeWriters = 8
+
 // runIssued runs the request of an issued key here, if this process issued
 // it, or else at the process that did.
 func (m *Manager) runIssued(ctx context.Context, key IssuedKey, req Request) outcome.Result {
@@ -57,37 +62,19 @@
 	return res
 }
 
-// runClosedKey runs the request of a key whose process is gone. It runs only
-// if that process stopped gracefully and recorded that it never sent the
-// request; whoever creates the record of the key then sends it.
+// runClosedKey runs the request of a key whose process is gone. The closing
+// object of that process says that each request it sent has a record, so
+// whoever can create the record of the key may send the request.
 func (m *Manager) runClosedKey(ctx context.Context, key IssuedKey, req Request) outcome.Result {
-	c, err := m.readClosed(ctx, key)
-	if err != nil {
-		return outcome.Uncertain(outcome.ReasonSenderGone)
+	if time.Since(key.IssuedAt) > KeyLifetime {
+		return outcome.Uncertain(outcome.ReasonExpired)
 	}
-	if slices.Contains(c.Used, key.Nonce) || time.Since(key.IssuedAt) > KeyUseWindow {
-		stored, err := m.readRecord(ctx, req.Key)
-		if err != nil {
-			return outcome.Uncertain(outcome.ReasonSenderGone)
-		}
-		res, _ := m.resolve(ctx, req, stored)
-		return res
+	if _, err := m.records.Get(ctx, ClosedKind, key.home()); err != nil {
+		return outcome.Uncertain(outcome.ReasonSenderGone)
 	}
 	return m.runClaimed(ctx, req)
 }
 
-func (m *Manager) readClosed(ctx context.Context, key IssuedKey) (closed, error) {
-	obj, err := m.records.Get(ctx, ClosedKind, key.home())
-	if err != nil {
-		return closed{}, err
-	}
-	var c closed
-	if err := json.Unmarshal(obj.Value, &c); err != nil {
-		return closed{}, Error.Wrap(err)
-	}
-	return c, nil
-}
-
 // Close ends the manager: it refuses new requests, waits until those that run
 // have ended, and records the outcomes of the issued keys, so that other
 // instances can settle them. It returns ctx's error if the wait was cut.
@@ -108,34 +95,34 @@
 	return m.recordClosed(ctx)
 }
 
-// recordClosed writes the outcomes first and the closing object last, so that
-// a closing object never stands without the outcomes that it refers to.
+// recordClosed writes the outcomes first and the closing object last: the
+// object tells others that a key without a record was never sent.
 func (m *Manager) recordClosed(ctx context.Context) error {
 	now := time.Now()
-	c := closed{ClosedUnixMs: now.UnixMilli(), Used: []string{}}
-	for name, e := range m.issued.finished() {
-		key, ok := parseIssuedKey(name)
-		if !ok {
-			continue
-		}
-		if now.Sub(key.IssuedAt) <= KeyUseWindow {
-			c.Used = append(c.Used, key.Nonce)
-		}
-		r := record{
-			Token: key.Nonce, Instance: m.self.Name, Incarnation: m.self.Incarnation,
-			Digest: e.digest, CreatedUnixMs: now.UnixMilli(),
-		}.withResult(e.result)
-		if _, err := m.writeRecord(ctx, name, r, 0); err != nil && !platform.ErrConflict.Has(err) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(closeWriters)
+	for key, e := range m.issued.finished() {
+		group.Go(func() error {
+			r := record{
+				Token: randomToken(), Instance: m.self.Name, Incarnation: m.self.Incarnation,
+				Digest: e.digest, CreatedUnixMs: now.UnixMilli(),
+			}.withResult(e.result)
+			_, err := m.writeRecord(ctx, key, r, 0)
+			if platform.ErrConflict.Has(err) {
+				return nil
+			}
 			return err
-		}
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
 	}
-	slices.Sort(c.Used)
-	value, err := json.Marshal(c)
+	value, err := json.Marshal(closed{ClosedUnixMs: now.UnixMilli()})
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	home := IssuedKey{Instance: m.self.Name, Incarnation: m.self.Incarnation}.home()
-	_, err = m.records.Put(ctx, ClosedKind, home, value, 0)
+	_, err = m.records.Put(context.WithoutCancel(ctx), ClosedKind, home, value, 0)
 	return err
 }
 
--- a/internal/once/key.go
+++ b/internal/once/key.go
@@ -12,11 +12,6 @@
 // record is removed, so a caller must not use a key of its own again.
 const KeyLifetime = 24 * time.Hour
 
-// KeyUseWindow is how long after its issue an issued key may first be used at
-// another instance, if the issuing one stopped gracefully. It bounds the list
-// of used keys that a stopping instance leaves behind.
-const KeyUseWindow = 10 * time.Minute
-
 // MaxKeyBytes bounds a key, which becomes an object name at the platform.
 const MaxKeyBytes = 200
 
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -47,12 +47,11 @@
 	CreatedUnixMs int64          `json:"created_unix_ms"`
 }
 
-// closed is the value of the object onceclosed/<instance>.<incarnation>. It
-// is written by a process that will send nothing any more. A key that it
-// issued and that Used does not list was never sent.
+// closed is the value of the object onceclosed/<instance>.<incarnation>. A
+// process writes it when it will send nothing any more and each request that
+// it sent has a record.
 type closed struct {
-	ClosedUnixMs int64    `json:"closed_unix_ms"`
-	Used         []string `json:"used"`
+	ClosedUnixMs int64 `json:"closed_unix_ms"`
 }
 
 // storedRecord is a record with the platform's version of it.
