Add the operators' commands

Cause: operators change the configuration concurrently, over a platform that loses answers, and must learn what truly happened. Change: package ctl with validate, diff, apply, status, zone, target retire, history and rollback; conditional updates with the current content stored in the history first; lost answers settled by a re-read, the history and a repeat under the same condition; baobabsillctl wires it to the platform client.

--- a/cmd/baobabsillctl/main.go
+++ b/cmd/baobabsillctl/main.go
@@ -1,4 +1,31 @@
-// Command baobabsillctl is not wired yet.
+// Command baobabsillctl is the operators' command of baobabsill.
 package main
 
-func main() {}
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/ctl"
+	"github.com/baobabsill/baobabsill/internal/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, ctl.Env{
+		Stdin:    os.Stdin,
+		Stdout:   os.Stdout,
+		Stderr:   os.Stderr,
+		ReadFile: os.ReadFile,
+		NewPlatform: func(address string, timeout time.Duration) ctl.Platform {
+			return platform.NewClient(address, timeout)
+		},
+		HTTP:  &http.Client{},
+		Pause: 200 * time.Millisecond,
+	}, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/ctl/app.go
@@ -0,0 +1,106 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const help = `Operators' commands of baobabsill.
+
+Exit codes: 0 done or already in force; 1 failure; 2 bad input; 3 conflict, nothing was changed; 4 unknown outcome, the change may be in force; 5 platform unavailable, nothing was changed.`
+
+// Run runs one command line, without the program name, and returns the exit
+// code. It is not safe for concurrent use with the same Env.
+func Run(ctx context.Context, env Env, args []string) int {
+	app := kingpin.New("baobabsillctl", help)
+	app.UsageWriter(env.Stderr)
+	app.ErrorWriter(env.Stderr)
+	// Parse goes on after --help, and its error then says nothing new.
+	stopped := false
+	app.Terminate(func(int) { stopped = true })
+
+	address := app.Flag("platform", "Platform address, IP:port or URL.").Envar("BAOBABSILL_PLATFORM").String()
+	timeout := app.Flag("timeout", "Limit of each call to the platform or to an instance.").Default("2s").Duration()
+	asJSON := app.Flag("json", "Print one JSON document instead of tables.").Bool()
+
+	var file, name, instances string
+	var version int64
+	fileArg := func(c *kingpin.CmdClause) *kingpin.CmdClause {
+		c.Arg("file", "Configuration in JSON; - is standard input.").Required().StringVar(&file)
+		return c
+	}
+	expect := int64(-1)
+	expectFlag := func(c *kingpin.CmdClause) *kingpin.CmdClause {
+		c.Flag("expect", "Change only if this version is in force (0: none).").Default("-1").Int64Var(&expect)
+		return c
+	}
+	fileArg(app.Command("validate", "Check a configuration without the platform."))
+	fileArg(app.Command("diff", "Show what applying a configuration would change."))
+	expectFlag(fileArg(app.Command("apply", "Replace the configuration.")))
+	st := app.Command("status", "Show instances, zones and targets.")
+	st.Flag("instances", "Caller addresses to ask instead of the instances that the platform lists.").StringVar(&instances)
+	zone := app.Command("zone", "Take an availability zone out, or back in.")
+	zone.Command("out", "Send no new work to the zone.").Arg("zone", "Zone.").Required().StringVar(&name)
+	zone.Command("in", "Send work to the zone again.").Arg("zone", "Zone.").Required().StringVar(&name)
+	target := app.Command("target", "Change one target.")
+	target.Command("retire", "Send no new work to the target, for good.").Arg("name", "Target.").Required().StringVar(&name)
+	app.Command("history", "List the versions of the configuration.")
+	rb := expectFlag(app.Command("rollback", "Make the content of an old version a new version."))
+	rb.Arg("version", "Version of the history.").Required().Int64Var(&version)
+
+	command, err := app.Parse(args)
+	if stopped {
+		return 0
+	}
+	finish := func(r Result) int {
+		r.Command = command
+		render(r, *asJSON, env.Stdout, env.Stderr)
+		return r.Outcome.ExitCode()
+	}
+	if err != nil {
+		return finish(Result{Outcome: BadInput, Message: err.Error() + "; try --help"})
+	}
+	if *timeout < time.Millisecond {
+		return finish(Result{Outcome: BadInput, Message: fmt.Sprintf("--timeout %v is too short", *timeout)})
+	}
+	if expect < -1 {
+		return finish(Result{Outcome: BadInput, Message: fmt.Sprintf("--expect %d is not a version", expect)})
+	}
+	if command == "validate" {
+		return finish(validate(env, file))
+	}
+	var c *configs
+	if *address != "" {
+		c = &configs{platform: env.NewPlatform(*address, *timeout), pause: env.Pause}
+	}
+	var asked []string
+	for _, a := range strings.Split(instances, ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			asked = append(asked, a)
+		}
+	}
+	if c == nil && (command != "status" || asked == nil) {
+		return finish(Result{Outcome: BadInput, Message: "no platform address: set --platform or BAOBABSILL_PLATFORM"})
+	}
+	switch command {
+	case "diff":
+		return finish(c.diff(ctx, env, file))
+	case "apply":
+		return finish(c.apply(ctx, env, file, expect))
+	case "status":
+		return finish(statusOf(ctx, c, env.HTTP, asked, *timeout))
+	case "zone out", "zone in":
+		return finish(c.zone(ctx, name, command == "zone out"))
+	case "target retire":
+		return finish(c.retire(ctx, name))
+	case "history":
+		return finish(c.listHistory(ctx))
+	case "rollback":
+		return finish(c.rollback(ctx, version, expect))
+	}
+	return finish(Result{Outcome: BadInput, Message: "unknown command " + command})
+}
