--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -17,11 +19,14 @@
 // code. It is not safe for concurrent use with the same Env.
 func Run(ctx context.Context, env Env, args []string) int {
 	app := kingpin.New("baobabsillctl", help)
-	app.UsageWriter(env.Stderr)
+	app.UsageWriter(env.Stdout)
 	app.ErrorWriter(env.Stderr)
-	// Parse goes on after --help, and its error then says nothing new.
+	// Parse goes on after --help, and would print the help again.
 	stopped := false
-	app.Terminate(func(int) { stopped = true })
+	app.Terminate(func(int) {
+		stopped = true
+		app.UsageWriter(io.Discard)
+	})
 
 	address := app.Flag("platform", "Platform address, IP:port or URL.").Envar("BAOBABSILL_PLATFORM").String()
 	timeout := app.Flag("timeout", "Limit of each call to the platform or to an instance.").Default("2s").Duration()
@@ -52,7 +57,13 @@
 	rb := expectFlag(app.Command("rollback", "Make the content of an old version a new version."))
 	rb.Arg("version", "Version of the history.").Required().Int64Var(&version)
 
-	command, err := app.Parse(args)
+	var command string
+	err := errors.New("no command given")
+	// Without arguments, kingpin prints the help and reports success, which a
+	// script would take for a change that was made.
+	if len(args) > 0 {
+		command, err = app.Parse(args)
+	}
 	if stopped {
 		return 0
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -181,6 +181,13 @@
 	})
 }
 
+// Guards against a script that takes a call without a command for a success.
+func TestNoCommandIsBadInput(t *testing.T) {
+	if code := Run(context.Background(), Env{Stdout: io.Discard, Stderr: io.Discard}, nil); code != 2 {
+		t.Errorf("exit %d, want 2", code)
+	}
+}
+
 // Guards against a field of the document that Changes does not compare; a
 // change of it alone would be taken for no change and never be written.
 func TestChangesComparesEveryField(t *testing.T) {
