Keep the history usable beside an unreadable configuration

Cause: with an object that this release cannot parse in force, history failed, so that no version to roll back to could be found.

--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -56,8 +56,8 @@
 		"{\"name\":\"a\"}\n{}":    `line 2: trailing data after the document`,
 		`{"name":"a"`:             `line 1: the document ends too early`,
 		``:                        `line 1: the document ends too early`,
-		"{\n\"services\":[\n{\"slots\":\"two\"}]}": `line 3: services.slots: got a string, want int`,
-		`{"zones":[{"out":"yes"}]}`:                `line 1: zones.out: got a string, want bool`,
+		"{\n\"services\":[\n{\"slots\":\"two\"}]}": `line 3: services.slots: wrong type string, want int`,
+		`{"zones":[{"out":"yes"}]}`:                `line 1: zones.out: wrong type string, want bool`,
 		`{"name":"a",}`:                            `line 1: invalid character '}'`,
 		`[]`:                                       `line 1: `,
 	} {
--- a/declare/encode.go
+++ b/declare/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -59,7 +60,8 @@
 	if err := dec.Decode(&d); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return fail(wrong.Offset, fmt.Errorf("%s: got a %s, want %s", wrong.Field, wrong.Value, wrong.Type))
+			field := cmp.Or(wrong.Field, "document")
+			return fail(wrong.Offset, fmt.Errorf("%s: wrong type %s, want %s", field, wrong.Value, wrong.Type))
 		}
 		return fail(dec.InputOffset(), err)
 	}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -245,20 +245,24 @@
 }
 
 func (c *configs) listHistory(ctx context.Context) Result {
-	now, err := c.read(ctx)
-	if err != nil {
-		return platformFailure("reading the configuration", err)
+	now, readErr := c.read(ctx)
+	if readErr != nil && now.version == 0 {
+		return platformFailure("reading the configuration", readErr)
 	}
-	entries, err := c.history(ctx)
+	entries, unreadable, err := c.history(ctx)
 	if err != nil {
 		return platformFailure("reading the history", err)
 	}
 	// A change whose outcome was lost may have stored the version in force.
 	entries = slices.DeleteFunc(entries, func(e current) bool { return e.version == now.version })
-	if now.version > 0 {
+	switch {
+	case readErr != nil:
+		// The kept versions are shown all the same: one of them may replace it.
+		unreadable = append(unreadable, readErr.Error())
+	case now.version > 0:
 		entries = append(entries, now)
 	}
-	r := Result{Outcome: OK, Version: now.version, Message: count(len(entries), "version")}
+	r := Result{Outcome: OK, Version: now.version, Message: count(len(entries), "version"), Warnings: unreadable}
 	for i, e := range entries {
 		h := HistoryEntry{Version: e.version, InForce: e.version == now.version, Changes: []Change{}, Document: e.document}
 		if i > 0 {
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -127,7 +127,7 @@
 	if now.version > 0 && len(Changes(now.document, next)) == 0 {
 		return replaced{outcome: OK, version: now.version}
 	}
-	entries, err := c.history(ctx)
+	entries, _, err := c.history(ctx)
 	if err != nil {
 		return replaced{outcome: Unknown, err: err}
 	}
@@ -159,25 +159,30 @@
 	return err
 }
 
-// history returns the kept versions, oldest first, without those that cannot
-// be parsed.
-func (c *configs) history(ctx context.Context) ([]current, error) {
+// history returns the kept versions, oldest first, and says which entries
+// cannot be read.
+func (c *configs) history(ctx context.Context) ([]current, []string, error) {
 	objects, _, err := c.platform.List(ctx, kindHistory)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var out []current
+	var unreadable []string
 	for _, o := range objects {
 		version, err := strconv.ParseInt(o.Name, 10, 64)
+		var d declare.Document
+		if err == nil {
+			d, err = declare.Parse(o.Value)
+		}
 		if err != nil {
+			unreadable = append(unreadable, fmt.Sprintf("version %s cannot be read: %v", o.Name, err))
 			continue
 		}
-		if d, err := declare.Parse(o.Value); err == nil {
-			out = append(out, current{version: version, raw: o.Value, document: d})
-		}
+		out = append(out, current{version: version, raw: o.Value, document: d})
 	}
+	slices.Sort(unreadable)
 	slices.SortFunc(out, func(a, b current) int { return cmp.Compare(a.version, b.version) })
-	return out, nil
+	return out, unreadable, nil
 }
 
 // prune removes the oldest versions beyond historyKept.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -163,10 +163,10 @@
 				f.targets = append(f.targets, platform.TargetItem{Name: d.CmdArgs[0].Key})
 			case "page":
 				hosts[strings.TrimSpace(lines[0])] = strings.Join(lines[1:], "\n")
-			case "instance":
+			case "object": // written without baobabsillctl
 				f.version++
-				name := d.CmdArgs[0].Key
-				f.objects["instance/"+name] = platform.Object{Kind: kindInstance, Name: name, Version: f.version, Value: json.RawMessage(d.Input)}
+				kind, name, _ := strings.Cut(d.CmdArgs[0].Key, "/")
+				f.objects[kind+"/"+name] = platform.Object{Kind: kind, Name: name, Version: f.version, Value: json.RawMessage(d.Input)}
 			case "objects":
 				for key, o := range f.objects {
 					lines = append(lines, fmt.Sprintf("%s version %d", key, o.Version))
@@ -237,7 +237,7 @@
 			t.Fatalf("change %d: %+v", n, r)
 		}
 	}
-	entries, err := c.history(context.Background())
+	entries, _, err := c.history(context.Background())
 	if err != nil || len(entries) != historyKept || entries[len(entries)-1].document.Name != fmt.Sprint("v", historyKept+8) {
 		t.Fatalf("%d entries kept, error %v", len(entries), err)
 	}
