Add the target stand-in

Cause: placement, limiter, dispatch and gateway need targets that drain, start cold, fall over, shed, cancel and spoil answers, and that record what they saw.

--- /dev/null
+++ b/standin/target/target_test.go
@@ -0,0 +1,157 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func start(t *testing.T, b Behaviour) *Target {
+	t.Helper()
+	tg := New("z", Spec{Service: "s", Name: "s-1", Listen: "127.0.0.1:0", Behaviour: b,
+		Snapshots: []Snapshot{{"v1", map[string]int{"a": 2}}}})
+	if err := tg.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(tg.Kill)
+	return tg
+}
+
+// send makes one request and returns the status, X-Outcome and body.
+func send(ctx context.Context, tg *Target, path, snapshot string, deadline time.Time) (int, string, map[string]any) {
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+tg.Address()+path, strings.NewReader(`{"query":{"q":"x"},"key":"k"}`))
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	for k, v := range map[string]string{"X-Request-Id": "r", "X-Attempt-Id": "a", "X-Snapshot": snapshot,
+		"X-Shard": "a", "X-Deadline-Unix-Ms": fmt.Sprint(deadline.UnixMilli())} {
+		req.Header.Set(k, v)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer resp.Body.Close()
+	var body map[string]any
+	err = json.NewDecoder(resp.Body).Decode(&body)
+	if resp.StatusCode == 200 && err != nil {
+		return 0, err.Error(), nil
+	}
+	return resp.StatusCode, resp.Header.Get("X-Outcome"), body
+}
+
+func soon() time.Time { return time.Now().Add(5 * time.Second) }
+
+// Guards against a cold target that takes more than it bears without falling
+// over, or whose violation is not counted, and against one that never warms.
+func TestColdLimit(t *testing.T) {
+	tg := start(t, Behaviour{Slots: 2, BearsCold: 1, Connections: 9, ServiceMS: 60, ColdRequests: 2, FallOverMS: 150})
+	ctx := context.Background()
+	var wg sync.WaitGroup
+	both := func() map[int]int {
+		codes := make(chan int, 2)
+		for range 2 {
+			wg.Go(func() { code, _, _ := send(ctx, tg, "/search", "v1", soon()); codes <- code })
+		}
+		wg.Wait()
+		return map[int]int{<-codes: 1, <-codes: 2}
+	}
+	send(ctx, tg, "/search", "v1", soon()) // tells the incarnation
+	if got := both(); got[200] == 0 || got[503] == 0 {
+		t.Fatalf("two at once while cold: %v", got)
+	}
+	if _, outcome, _ := send(ctx, tg, "/search", "v1", soon()); outcome != "shed" {
+		t.Fatalf("after falling over: %q", outcome)
+	}
+	if c := tg.Counts(); c.ColdViolations != 1 || c.UnwarnedViolations != 0 || c.MaxCold != 2 {
+		t.Fatalf("%+v", c)
+	}
+	time.Sleep(200 * time.Millisecond)
+	send(ctx, tg, "/search", "v1", soon())
+	send(ctx, tg, "/search", "v1", soon())
+	if got := both(); got[503] != 0 || tg.Counts().MaxWarm != 2 {
+		t.Fatalf("two at once while warm: %v, %+v", got, tg.Counts())
+	}
+}
+
+// Guards against a closed connection that keeps its slot, and against the next
+// request of the same sender being taken for too much load.
+func TestCancellationFreesTheSlot(t *testing.T) {
+	tg := start(t, Behaviour{Slots: 1, BearsCold: 1, Connections: 9, ServiceMS: 20, ColdRequests: 1000, FallOverMS: 50})
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		send(ctx, tg, "/search", "v1", soon())
+		cancel()
+		if code, outcome, _ := send(context.Background(), tg, "/search", "v1", soon()); code != 200 {
+			t.Fatalf("%d %s after a cancellation: %+v", code, outcome, tg.Counts())
+		}
+	}
+	if c := tg.Counts(); c.Cancelled != 20 || c.ColdViolations+c.UnwarnedViolations != 0 {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// Guards against wrong refusal codes, a deadline that is not observed, a
+// duplicate run that goes unnoticed and a restart without a new incarnation.
+func TestRefusalsAndRuns(t *testing.T) {
+	tg := start(t, Behaviour{Slots: 2, BearsCold: 1, Connections: 9, ServiceMS: 30})
+	ctx := context.Background()
+	if code, outcome, _ := send(ctx, tg, "/search", "v0", soon()); code != 410 || outcome != "snapshot-gone" {
+		t.Fatal(code, outcome)
+	}
+	if code, outcome, _ := send(ctx, tg, "/execute", "", time.Now().Add(-time.Second)); code != 408 || outcome != "expired" {
+		t.Fatal(code, outcome)
+	}
+	if code, outcome, _ := send(ctx, tg, "/search", "v1", time.Now().Add(10*time.Millisecond)); code != 408 || outcome != "expired" {
+		t.Fatal(code, outcome)
+	}
+	send(ctx, tg, "/execute", "", soon())
+	send(ctx, tg, "/execute", "", soon())
+	if c := tg.Counts(); c.Duplicates != 1 || tg.Runs()["k"] != 2 {
+		t.Fatalf("%+v", c)
+	}
+	mode, before := DrainRefuse, tg.Incarnation()
+	tg.change(Change{Drain: &mode}, time.Now())
+	if code, outcome, _ := send(ctx, tg, "/search", "v1", soon()); code != 503 || outcome != "draining" || tg.Counts().AfterDrain != 1 {
+		t.Fatal(code, outcome, tg.Counts())
+	}
+	tg.Kill()
+	if code, _, _ := send(ctx, tg, "/search", "v1", soon()); code != 0 {
+		t.Fatalf("a killed target answered %d", code)
+	}
+	if err := tg.Start(); err != nil || tg.Incarnation() == before {
+		t.Fatal(err, tg.Incarnation())
+	}
+}
+
+// Guards against faults of answers that a whole and correct answer hides.
+func TestSpoiltAnswers(t *testing.T) {
+	tg := start(t, Behaviour{Slots: 2, BearsCold: 1, Connections: 9, ServiceMS: 1})
+	ctx := context.Background()
+	tg.change(Change{Crossed: 1}, time.Now())
+	if _, _, body := send(ctx, tg, "/search", "v1", soon()); body["request_id"] != "other-request" {
+		t.Fatal("crossed answer names the right request", body)
+	}
+	if _, _, body := send(ctx, tg, "/search", "v1", soon()); body["count"] != 2.0 || len(body["items"].([]any)) != 2 {
+		t.Fatal(body)
+	}
+	tg.change(Change{Truncated: 1}, time.Now())
+	if code, text, _ := send(ctx, tg, "/search", "v1", soon()); code != 0 {
+		t.Fatal("truncated answer was whole", code, text)
+	}
+	tg.change(Change{Duplicated: 1}, time.Now())
+	if code, text, body := send(ctx, tg, "/search", "v1", soon()); code != 200 || body["request_id"] != "r" {
+		t.Fatal("duplicated answer", code, text, body)
+	}
+	tg.change(Change{Late: 1, LateMS: 50}, time.Now())
+	begin := time.Now()
+	if send(ctx, tg, "/search", "v1", soon()); time.Since(begin) < 50*time.Millisecond {
+		t.Fatal("late answer was in time")
+	}
+}
