Add the link relay between availability zones

A cut holds bytes back instead of closing, as a network partition does; a reset is a separate change.

--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,338 @@
+// Package link is a TCP relay that stands at the advertised peer addresses of
+// instances and puts the delay between availability zones on the connections
+// to them. It is test code and never shipped.
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Route leads from an advertised address to the address that an instance
+// listens on.
+type Route struct {
+	Advertised string `json:"advertised"`
+	Forward    string `json:"forward"`
+	Zone       string `json:"zone"`
+}
+
+// Spec describes the relay.
+type Spec struct {
+	AdminListen string `json:"admin_listen"`
+	// Prefixes gives the zone of a source address, by prefix of the address.
+	Prefixes map[string]string `json:"prefixes"`
+	Routes   []Route           `json:"routes"`
+	// DelayMS is the one-way delay between zones; up to JitterMS is added.
+	DelayMS  float64 `json:"delay_ms"`
+	JitterMS float64 `json:"jitter_ms"`
+	Seed     uint64  `json:"seed"`
+}
+
+// Change is the body of POST /admin/link. It changes the pair of zones A and
+// B; with both empty, it changes the delay of all pairs without one of their own.
+type Change struct {
+	A string `json:"a"`
+	B string `json:"b"`
+	// Cut holds back everything between the zones until it is false again.
+	Cut *bool `json:"cut,omitempty"`
+	// Reset closes the connections between the zones once.
+	Reset    bool     `json:"reset,omitempty"`
+	DelayMS  *float64 `json:"delay_ms,omitempty"`
+	JitterMS *float64 `json:"jitter_ms,omitempty"`
+}
+
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+type pairState struct {
+	delay, jitter float64
+	restored      chan struct{} // not nil while cut
+}
+
+// Relay serves all routes. It is safe for concurrent use.
+type Relay struct {
+	spec Spec
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	initial   pairState
+	pairs     map[pair]*pairState
+	conns     map[net.Conn]pair
+	listeners []net.Listener
+	closed    bool
+}
+
+// New returns a relay that is not started.
+func New(spec Spec) *Relay {
+	return &Relay{
+		spec: spec, rng: rand.New(rand.NewPCG(spec.Seed, 0x117c)),
+		initial: pairState{delay: spec.DelayMS, jitter: spec.JitterMS},
+		pairs:   map[pair]*pairState{}, conns: map[net.Conn]pair{},
+	}
+}
+
+// Start listens on all advertised addresses.
+func (r *Relay) Start() error {
+	for _, route := range r.spec.Routes {
+		l, err := net.Listen("tcp", route.Advertised)
+		if err != nil {
+			r.Close()
+			return err
+		}
+		r.mu.Lock()
+		r.listeners = append(r.listeners, l)
+		r.mu.Unlock()
+		go r.accept(l, route)
+	}
+	return nil
+}
+
+// Addresses returns the addresses listened on, in the order of the routes.
+func (r *Relay) Addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, l := range r.listeners {
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+// Close closes all listeners and connections.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, l := range r.listeners {
+		_ = l.Close()
+	}
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// Apply changes a pair of zones.
+func (r *Relay) Apply(c Change) error {
+	if (c.A == "") != (c.B == "") || (c.A == "" && (c.Cut != nil || c.Reset)) {
+		return errors.New("a cut or reset needs both zones")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.initial
+	if c.A != "" {
+		s = r.pairLocked(pairOf(c.A, c.B))
+	}
+	if c.DelayMS != nil {
+		s.delay = *c.DelayMS
+	}
+	if c.JitterMS != nil {
+		s.jitter = *c.JitterMS
+	}
+	if c.Cut != nil {
+		if s.restored != nil && !*c.Cut {
+			close(s.restored)
+			s.restored = nil
+		}
+		if s.restored == nil && *c.Cut {
+			s.restored = make(chan struct{})
+		}
+	}
+	if c.Reset {
+		for conn, p := range r.conns {
+			if p == pairOf(c.A, c.B) {
+				_ = conn.Close()
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Relay) pairLocked(p pair) *pairState {
+	if r.pairs[p] == nil {
+		s := r.initial
+		r.pairs[p] = &s
+	}
+	return r.pairs[p]
+}
+
+// delayOf returns the delay of a chunk and a channel to wait for while the
+// pair is cut. Traffic inside a zone is not delayed.
+func (r *Relay) delayOf(p pair) (time.Duration, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.initial
+	if own := r.pairs[p]; own != nil {
+		s = own
+	}
+	if p.a == p.b {
+		return 0, s.restored
+	}
+	ms := s.delay + s.jitter*r.rng.Float64()
+	return time.Duration(ms * float64(time.Millisecond)), s.restored
+}
+
+func (r *Relay) zoneOf(addr net.Addr) string {
+	for prefix, zone := range r.spec.Prefixes {
+		if strings.HasPrefix(addr.String(), prefix) {
+			return zone
+		}
+	}
+	return ""
+}
+
+func (r *Relay) accept(l net.Listener, route Route) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c, route)
+	}
+}
+
+func (r *Relay) serve(c net.Conn, route Route) {
+	defer c.Close()
+	p := pairOf(r.zoneOf(c.RemoteAddr()), route.Zone)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if !r.track(c, p) {
+		return
+	}
+	defer r.forget(c)
+	if _, cut := r.delayOf(p); cut != nil {
+		<-cut
+	}
+	forward, err := net.DialTimeout("tcp", route.Forward, 2*time.Second)
+	if err != nil {
+		return
+	}
+	defer forward.Close()
+	if !r.track(forward, p) {
+		return
+	}
+	defer r.forget(forward)
+	done := make(chan struct{}, 2)
+	go func() { r.copy(ctx, forward, c, p); done <- struct{}{} }()
+	go func() { r.copy(ctx, c, forward, p); done <- struct{}{} }()
+	<-done
+}
+
+func (r *Relay) track(c net.Conn, p pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.conns[c] = p
+	return true
+}
+
+func (r *Relay) forget(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// copy forwards one direction in order. The queue lets many chunks be on the
+// way at once, so that the delay does not limit the throughput.
+func (r *Relay) copy(ctx context.Context, to, from net.Conn, p pair) {
+	queue := make(chan chunk, 4096)
+	go func() {
+		defer close(queue)
+		var last time.Time
+		for {
+			buf := make([]byte, 32<<10)
+			n, err := from.Read(buf)
+			if n > 0 {
+				d, _ := r.delayOf(p)
+				due := time.Now().Add(d)
+				if due.Before(last) {
+					due = last
+				}
+				last = due
+				select {
+				case queue <- chunk{buf[:n], due}:
+				case <-ctx.Done():
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for c := range queue {
+		time.Sleep(time.Until(c.due))
+		for _, cut := r.delayOf(p); cut != nil; _, cut = r.delayOf(p) {
+			select {
+			case <-cut:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if _, err := to.Write(c.data); err != nil {
+			return
+		}
+	}
+}
+
+// Handler serves the admin endpoint.
+func (r *Relay) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /admin/link", func(w http.ResponseWriter, req *http.Request) {
+		var c Change
+		d := json.NewDecoder(req.Body)
+		d.DisallowUnknownFields()
+		err := d.Decode(&c)
+		if err == nil {
+			err = r.Apply(c)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		_, _ = io.WriteString(w, "{}")
+	})
+	return mux
+}
+
+// Serve runs the relay and its admin endpoint until the context ends.
+// It calls ready with the admin address once both listen.
+func (r *Relay) Serve(ctx context.Context, ready func(address string)) error {
+	if err := r.Start(); err != nil {
+		return err
+	}
+	defer r.Close()
+	l, err := net.Listen("tcp", r.spec.AdminListen)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	defer srv.Close()
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	ready(l.Addr().String())
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("admin endpoint: %w", err)
+	}
+	return nil
+}
