Add membership, sync, target list, freshness and placement

Cause: the daemon needs the control side: who is alive, what is configured, which targets exist, and who may send to them. Change: packages control and placement, and load encoding in peer. A placement is not written before the moves of the one before have ended, so that a target never has two previous holders.

--- /dev/null
+++ b/internal/control/membership.go
@@ -0,0 +1,346 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/peer"
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/platform"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+const (
+	heartbeatEvery = 250 * time.Millisecond
+	suspectAfter   = time.Second
+	// forgetAfter is how long an instance that does not answer gets heartbeats.
+	forgetAfter = time.Minute
+	// stallGap is the pause of the process after which peers get another
+	// suspectAfter to answer.
+	stallGap = 2 * heartbeatEvery
+)
+
+// Leases is told what heartbeats carry and decides about grants. The epochs
+// are those of the local zone.
+type Leases interface {
+	Grant(from string, epoch int64, now time.Time) bool
+	ObserveAnswer(from string, epoch int64, granted bool, sentAt time.Time)
+	ObserveEpoch(from string, epoch int64, released []string, now time.Time)
+	ObserveLoads(from string, loads []state.Load, now time.Time)
+	Released() (epoch int64, targets []string)
+}
+
+// Registry is the part of the platform client that keeps instance/<name>.
+type Registry interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Put(ctx context.Context, kind, name string, value json.RawMessage, ifVersion int64) (int64, error)
+	Delete(ctx context.Context, kind, name string, ifVersion int64) error
+}
+
+// Pool reports the loads of the targets that this instance holds.
+type Pool interface{ Loads() []state.Load }
+
+// member is what is known of another instance.
+type member struct {
+	InstanceRecord
+	answered time.Time // last answer, or the end of a local pause
+	learned  time.Time
+	suspect  bool
+	inForce  int64
+	past     []string // earlier incarnations
+}
+
+// Membership exchanges heartbeats with the other instances and publishes them
+// in the Store. It is safe for concurrent use.
+type Membership struct {
+	logger    *log.Logger
+	self      Self
+	store     *state.Store
+	peers     Peers
+	sync      *Sync
+	freshness *Freshness
+	leases    Leases
+	pool      Pool
+	registry  Registry
+
+	mu       sync.Mutex
+	state    string
+	members  map[string]*member
+	records  map[string]int64 // versions of the instance objects seen
+	lastTick time.Time
+	selfAt   map[string]bool // seed addresses that are this instance
+	register chan struct{}
+}
+
+// NewMembership returns a Membership in the state "starting".
+func NewMembership(logger *log.Logger, self Self, store *state.Store, peers Peers, s *Sync, f *Freshness, leases Leases, pool Pool, registry Registry) *Membership {
+	return &Membership{
+		logger: orDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
+		leases: leases, pool: pool, registry: registry, state: StateStarting,
+		members: map[string]*member{}, records: map[string]int64{},
+		selfAt:   map[string]bool{self.PeerAddress: true},
+		register: make(chan struct{}, 1),
+	}
+}
+
+// SetState changes the local state; after "draining" no other is taken. The
+// peers are told at once.
+func (m *Membership) SetState(s string) {
+	m.mu.Lock()
+	changed := m.state != s && m.state != StateDraining
+	if changed {
+		m.state = s
+	}
+	m.mu.Unlock()
+	if changed {
+		signal(m.sync.push)
+		signal(m.register)
+	}
+}
+
+// State returns the local state.
+func (m *Membership) State() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+// Run sends heartbeats until ctx ends.
+func (m *Membership) Run(ctx context.Context) error {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	calls.Go(func() { m.keepRegistered(ctx) })
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		m.tick(time.Now())
+		m.round(ctx, &calls, false)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-m.sync.Push():
+		}
+	}
+}
+
+// Refresh asks all peers once and waits for their answers.
+func (m *Membership) Refresh(ctx context.Context) {
+	var calls sync.WaitGroup
+	m.round(ctx, &calls, true)
+	calls.Wait()
+}
+
+// round sends one heartbeat to each known instance and unknown seed. With
+// fetch, newer objects are fetched before the state counts as confirmed.
+func (m *Membership) round(ctx context.Context, calls *sync.WaitGroup, fetch bool) {
+	m.mu.Lock()
+	addresses := map[string]bool{}
+	for _, p := range m.members {
+		addresses[p.PeerAddress] = true
+	}
+	for _, seed := range m.self.Seeds {
+		addresses[seed] = true
+	}
+	for address := range m.selfAt {
+		delete(addresses, address)
+	}
+	m.mu.Unlock()
+	for address := range addresses {
+		calls.Go(func() { m.heartbeat(ctx, address, fetch) })
+	}
+}
+
+func (m *Membership) heartbeat(ctx context.Context, address string, fetch bool) {
+	ctx, cancel := context.WithTimeout(ctx, suspectAfter)
+	defer cancel()
+	epoch, _ := m.leases.Released()
+	req := &peerpb.ExchangeRequest{
+		From: m.describe(), Versions: m.sync.Versions(), PlacementEpoch: epoch,
+		Loads: peer.EncodeLoads(m.pool.Loads()), Known: m.known(),
+		FreshAgeMs: m.freshAge(), ConfigInForce: m.store.Load().ConfigVersion,
+	}
+	sentAt := time.Now()
+	reply, err := m.peers.Client(address).Exchange(ctx, req)
+	if err != nil || reply.GetFrom() == nil {
+		m.logger.Debug().Err(err).Str("peer_address", address).Msg("heartbeat failed")
+		return
+	}
+	now := time.Now()
+	from := decodeInstance(reply.From)
+	if from.Name == m.self.Name {
+		m.mu.Lock()
+		m.selfAt[address] = true
+		m.mu.Unlock()
+		return
+	}
+	if !m.learn(from, now, true, reply.ConfigInForce) {
+		return
+	}
+	m.learnKnown(reply.Known, now)
+	if from.Zone == m.self.Zone {
+		m.leases.ObserveAnswer(from.Name, epoch, reply.Granted, sentAt)
+		m.leases.ObserveEpoch(from.Name, reply.PlacementEpoch, reply.Released, now)
+	}
+	m.takeLoads(from.Name, peer.DecodeLoads(reply.Loads), now)
+	behind := m.sync.Observe(address, reply.Versions)
+	if behind && fetch {
+		m.sync.fetch(ctx, address)
+		behind = m.sync.Observe(address, reply.Versions)
+	}
+	if !behind {
+		m.freshness.Confirm(sentAt.Add(-time.Duration(reply.FreshAgeMs) * time.Millisecond))
+	}
+}
+
+// Exchange answers the heartbeat of another instance.
+func (m *Membership) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	now := time.Now()
+	from := decodeInstance(req.From)
+	reply := &peerpb.ExchangeReply{From: m.describe()}
+	if from.Name != m.self.Name && m.learn(from, now, false, req.ConfigInForce) {
+		m.learnKnown(req.Known, now)
+		if from.Zone == m.self.Zone {
+			reply.Granted = m.leases.Grant(from.Name, req.PlacementEpoch, now)
+			m.leases.ObserveEpoch(from.Name, req.PlacementEpoch, nil, now)
+		}
+		m.takeLoads(from.Name, peer.DecodeLoads(req.Loads), now)
+		m.sync.Observe(from.PeerAddress, req.Versions)
+	}
+	reply.Versions = m.sync.Versions()
+	reply.PlacementEpoch, reply.Released = m.leases.Released()
+	reply.Loads = peer.EncodeLoads(m.pool.Loads())
+	reply.Known = m.known()
+	reply.FreshAgeMs = m.freshAge()
+	reply.ConfigInForce = m.store.Load().ConfigVersion
+	return reply, nil
+}
+
+// freshAge returns the age of the last confirmation in milliseconds, rounded
+// up, so that passing it around never makes it younger.
+func (m *Membership) freshAge() int64 { return m.freshness.Age().Milliseconds() + 1 }
+
+// learn notes what an instance said of itself, as an answer to a heartbeat or
+// in a request. It returns false for an incarnation that is not the running one.
+func (m *Membership) learn(r InstanceRecord, now time.Time, answer bool, inForce int64) bool {
+	if r.Name == "" || r.PeerAddress == "" {
+		return false
+	}
+	m.mu.Lock()
+	p, ok := m.members[r.Name]
+	switch {
+	case !ok:
+		p = &member{InstanceRecord: r, learned: now, suspect: true}
+		m.members[r.Name] = p
+	case p.Incarnation != r.Incarnation:
+		// Only an answer shows which process runs now; a late request may
+		// come from the one before.
+		if !p.suspect && (!answer || slices.Contains(p.past, r.Incarnation)) {
+			m.mu.Unlock()
+			return false
+		}
+		m.replace(p, r, now)
+	}
+	if p.State != StateDraining {
+		p.State = r.State
+	}
+	p.inForce = max(p.inForce, inForce)
+	if answer {
+		p.answered = now
+		p.suspect = p.State == StateStarting
+	}
+	m.mu.Unlock()
+	m.publish()
+	return true
+}
+
+// replace puts a new incarnation in the place of an old one.
+func (m *Membership) replace(p *member, r InstanceRecord, now time.Time) {
+	m.logger.Info().Str("instance", r.Name).Str("old", p.Incarnation).Str("incarnation", r.Incarnation).
+		Msg("instance restarted")
+	past := append(p.past, p.Incarnation)
+	*p = member{InstanceRecord: r, learned: now, suspect: true, past: past[max(0, len(past)-16):]}
+}
+
+// learnKnown adds instances that another one knows. They count as alive only
+// after they answered.
+func (m *Membership) learnKnown(known []*peerpb.Instance, now time.Time) {
+	for _, k := range known {
+		m.learnIndirect(decodeInstance(k), now)
+	}
+}
+
+func (m *Membership) learnIndirect(r InstanceRecord, now time.Time) {
+	if r.Name == "" || r.Name == m.self.Name || r.PeerAddress == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.members[r.Name]
+	switch {
+	case !ok:
+		m.members[r.Name] = &member{InstanceRecord: r, learned: now, suspect: true}
+	case p.Incarnation == r.Incarnation:
+		if r.State == StateDraining {
+			p.State = r.State
+		}
+	case p.suspect && !slices.Contains(p.past, r.Incarnation):
+		m.replace(p, r, now)
+	}
+}
+
+// tick updates the liveness of the instances and the local loads.
+func (m *Membership) tick(now time.Time) {
+	m.learnRecords(now)
+	m.mu.Lock()
+	stalled := !m.lastTick.IsZero() && now.Sub(m.lastTick) > stallGap
+	m.lastTick = now
+	for name, p := range m.members {
+		if stalled && !p.suspect {
+			p.answered = now
+		}
+		if !p.suspect && now.Sub(p.answered) >= suspectAfter {
+			p.suspect = true
+			m.logger.Warn().Str("instance", name).Str("reason", "no answer to heartbeats").Msg("instance suspect")
+		}
+		silent := now.Sub(p.answered)
+		if p.answered.IsZero() {
+			silent = now.Sub(p.learned)
+		}
+		if p.suspect && (silent >= forgetAfter || p.State == StateDraining && silent >= suspectAfter) {
+			delete(m.members, name)
+		}
+	}
+	m.mu.Unlock()
+	m.publish()
+	m.takeLoads(m.self.Name, m.pool.Loads(), now)
+}
+
+// publish puts the instances into the Store if they changed.
+func (m *Membership) publish() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	instances := make(map[string]state.Instance, len(m.members))
+	for name, p := range m.members {
+		live := state.Alive
+		switch {
+		case p.suspect:
+			live = state.Suspect
+		case p.State == StateDraining:
+			live = state.Draining
+		}
+		instances[name] = state.Instance{
+			Name: name, Incarnation: p.Incarnation, Zone: p.Zone, PeerAddress: p.PeerAddress,
+			CallerAddress: p.CallerAddress, Liveness: live, ConfigVersion: p.inForce,
+		}
+	}
+	if !maps.Equal(instances, m.store.Load().Instances) {
+		m.store.Update(func(next *state.Snapshot) { next.Instances = instances })
+	}
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,154 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+const (
+	// removeAfter and addAfter keep a flapping link from moving targets.
+	removeAfter = 2 * time.Second
+	addAfter    = 2 * time.Second
+	// minorityDelay is removeAfter for an instance that reaches less than half
+	// of the members. The others can remove it first, so that an instance
+	// whose own link fails does not remove everybody else.
+	minorityDelay = 6 * time.Second
+	// rankDelay is how long each further instance in order of names waits
+	// before it reconciles.
+	rankDelay = 500 * time.Millisecond
+	// stallGap is the pause of the process after which the liveness seen
+	// before counts no more.
+	stallGap = time.Second
+)
+
+// planner decides the members of a zone from the liveness of the instances
+// over time. It is not safe for concurrent use.
+type planner struct {
+	self, zone string
+	last       time.Time
+	up, down   map[string]time.Time // since when an instance is alive or not
+	dirty      time.Time            // since when a change is due
+}
+
+func newPlanner(self, zone string) *planner {
+	return &planner{self: self, zone: zone, up: map[string]time.Time{}, down: map[string]time.Time{}}
+}
+
+// observe updates the times since when the instances of the zone are alive.
+// join says that the local instance wants to be a member.
+func (pl *planner) observe(snap *state.Snapshot, p state.Placement, join bool, now time.Time) {
+	if now.Sub(pl.last) > stallGap {
+		clear(pl.up)
+		clear(pl.down)
+		pl.dirty = time.Time{}
+	}
+	pl.last = now
+	names := slices.Clone(p.Members)
+	for name, i := range snap.Instances {
+		if i.Zone == pl.zone {
+			names = append(names, name)
+		}
+	}
+	for _, name := range append(names, pl.self) {
+		live := snap.Instances[name].Liveness
+		isUp := name == pl.self && join || name != pl.self && live == state.Alive
+		// A draining member leaves by itself and is not removed for it.
+		isDown := name != pl.self && live != state.Alive && live != state.Draining
+		note(pl.up, name, isUp, now)
+		note(pl.down, name, isDown, now)
+	}
+	known := func(name string, _ time.Time) bool { return !slices.Contains(names, name) && name != pl.self }
+	maps.DeleteFunc(pl.up, known)
+	maps.DeleteFunc(pl.down, known)
+}
+
+func note(since map[string]time.Time, name string, holds bool, now time.Time) {
+	if _, ok := since[name]; !holds {
+		delete(since, name)
+	} else if !ok {
+		since[name] = now
+	}
+}
+
+// members returns the members that the zone should have, sorted, and the
+// reason of the change, or "" for none.
+func (pl *planner) members(p state.Placement, now time.Time) (members []string, reason string) {
+	if len(p.Members) == 0 || p.Released {
+		return slices.Sorted(maps.Keys(pl.up)), "no placement"
+	}
+	reached := 0
+	for _, m := range p.Members {
+		if _, down := pl.down[m]; !down {
+			reached++
+		}
+	}
+	delay := removeAfter
+	if 2*reached < len(p.Members) {
+		delay = minorityDelay
+	}
+	for _, m := range p.Members {
+		if since, down := pl.down[m]; down && now.Sub(since) >= delay {
+			reason = "member suspect: " + m
+			continue
+		}
+		members = append(members, m)
+	}
+	for name, since := range pl.up {
+		if !slices.Contains(p.Members, name) && now.Sub(since) >= addAfter {
+			// An instance that reaches no member waits for them like a minority.
+			if reached > 0 || now.Sub(since) >= minorityDelay {
+				members, reason = append(members, name), "instance joined: "+name
+			}
+		}
+	}
+	slices.Sort(members)
+	return members, reason
+}
+
+// turn reports whether it is the local instance's turn to reconcile a change
+// that is due: the first live instance by name at once, others later.
+func (pl *planner) turn(now time.Time) bool {
+	if pl.dirty.IsZero() {
+		pl.dirty = now
+	}
+	rank := 0
+	for name := range pl.up {
+		if name < pl.self {
+			rank++
+		}
+	}
+	return now.Sub(pl.dirty) >= time.Duration(rank)*rankDelay
+}
+
+// next returns the placement that follows p with other members or targets.
+func next(p state.Placement, zone string, members, targets []string) state.Placement {
+	n := state.Placement{Zone: zone, Members: members, Holders: Assign(members, targets)}
+	if p.Epoch == 0 || p.Released {
+		return n
+	}
+	n.PreviousMembers = p.Members
+	for t, holder := range p.Holders {
+		if n.Holders[t] != holder {
+			if n.Previous == nil {
+				n.Previous = map[string]string{}
+			}
+			n.Previous[t] = holder
+		}
+	}
+	return n
+}
+
+// zoneTargets returns the names of the targets of a zone, sorted.
+func zoneTargets(snap *state.Snapshot, zone string) []string {
+	var names []string
+	for name, t := range snap.Targets {
+		if t.Zone == zone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
