Add the entry side: filter chain, plan, scatter, and the callers' API

The entry had no way from a caller's request to the holders of the targets. The gateway plans each query as a pure function, scatters it in one event loop per query, and hedges and retries within one budget. The API decodes strictly and serves callers and operators over Hertz.

--- /dev/null
+++ b/internal/api/callers.go
@@ -0,0 +1,136 @@
+package api
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/outcome"
+)
+
+// SearchBody is the body of POST /v1/search.
+type SearchBody struct {
+	Search string          `json:"search"`
+	Query  json.RawMessage `json:"query"`
+	// DeadlineMS is the time to the answer in milliseconds from the arrival
+	// of the request.
+	DeadlineMS *int64 `json:"deadline_ms,omitempty"`
+}
+
+// ExecuteBody is the body of POST /v1/execute.
+type ExecuteBody struct {
+	Operation  string          `json:"operation"`
+	Key        string          `json:"key"`
+	Body       json.RawMessage `json:"body"`
+	DeadlineMS *int64          `json:"deadline_ms,omitempty"`
+}
+
+// newRequestID returns 96 random bits in hexadecimal.
+func newRequestID() string {
+	var b [12]byte
+	rand.Read(b[:]) //nolint:errcheck // never fails
+	return hex.EncodeToString(b[:])
+}
+
+func (s *Server) search(ctx context.Context, c *app.RequestContext) {
+	received, id := time.Now(), newRequestID()
+	var body SearchBody
+	if status, r := decode(c, &body); r != nil {
+		s.refuse(c, status, id, *r)
+		return
+	}
+	deadline, r := s.absoluteDeadline(received, body.DeadlineMS)
+	switch {
+	case r != nil:
+	case body.Search == "":
+		r = &refusal{outcome.ReasonMalformed, "search is missing"}
+	case !isPresent(body.Query):
+		r = &refusal{outcome.ReasonMalformed, "query is missing"}
+	}
+	if r != nil {
+		s.refuse(c, http.StatusBadRequest, id, *r)
+		return
+	}
+	reply := s.searcher.Search(ctx, gateway.SearchRequest{RequestID: id, Search: body.Search, Query: body.Query, Deadline: deadline})
+	doc := Reply{
+		Outcome: callerOutcome(reply.Result.Code), Reason: string(reply.Result.Reason),
+		RequestID: id, Snapshot: reply.Snapshot, Items: reply.Items,
+	}
+	if reply.Coverage.Total > 0 {
+		doc.Coverage = &reply.Coverage
+	}
+	if reply.Result.Code == outcome.Invalid && reply.Result.Reason == outcome.ReasonNotFound {
+		doc.Message = "no search of this name is declared"
+	}
+	writeReply(c, httpStatus(reply.Result), doc)
+}
+
+func (s *Server) execute(ctx context.Context, c *app.RequestContext) {
+	received, id := time.Now(), newRequestID()
+	var body ExecuteBody
+	if status, r := decode(c, &body); r != nil {
+		s.refuse(c, status, id, *r)
+		return
+	}
+	deadline, r := s.absoluteDeadline(received, body.DeadlineMS)
+	switch {
+	case r != nil:
+	case body.Operation == "":
+		r = &refusal{outcome.ReasonMalformed, "operation is missing"}
+	case !isPresent(body.Body):
+		r = &refusal{outcome.ReasonMalformed, "body is missing"}
+	default:
+		r = checkKey(body.Key)
+	}
+	if r != nil {
+		s.refuse(c, http.StatusBadRequest, id, *r)
+		return
+	}
+	s.writeResult(c, s.once.Run(ctx, body.Key, body.Operation, body.Body, deadline, id), body.Key, id)
+}
+
+func (s *Server) issueKey(_ context.Context, c *app.RequestContext) {
+	if len(c.Request.Body()) > 0 {
+		var empty struct{}
+		if status, r := decode(c, &empty); r != nil {
+			s.refuse(c, status, "", *r)
+			return
+		}
+	}
+	writeJSON(c, http.StatusOK, struct {
+		Key string `json:"key"`
+	}{s.once.IssueKey()})
+}
+
+func (s *Server) settle(ctx context.Context, c *app.RequestContext) {
+	id, key := newRequestID(), string([]byte(c.Param("key")))
+	if r := checkKey(key); r != nil {
+		s.refuse(c, http.StatusBadRequest, id, *r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.o.DefaultDeadline)
+	defer cancel()
+	s.writeResult(c, s.once.Settle(ctx, key), key, id)
+}
+
+// writeResult answers with the outcome of an at-most-once request.
+func (s *Server) writeResult(c *app.RequestContext, r outcome.Result, key, id string) {
+	doc := Reply{Outcome: callerOutcome(r.Code), Reason: string(r.Reason), RequestID: id, Key: key}
+	if r.Code == outcome.Answered {
+		doc.Result = r.Body
+	}
+	writeReply(c, httpStatus(r), doc)
+}
+
+// refuse answers a malformed request and logs why.
+func (s *Server) refuse(c *app.RequestContext, status int, id string, r refusal) {
+	s.logger.Info().Str("request_id", id).Str("path", string(c.Path())).Int("status", status).
+		Str("reason", string(r.reason)).Str("detail", r.message).Msg("refuse")
+	writeRefusal(c, status, id, r)
+}
--- /dev/null
+++ b/internal/gateway/filter.go
@@ -0,0 +1,78 @@
+// Package gateway is the entry side of an instance. A search passes through a
+// chain of filters: validation, freshness gate, admission, deadline, plan,
+// scatter with hedges and retries, and merge.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// SearchRequest is one search of a caller. Deadline is absolute.
+type SearchRequest struct {
+	RequestID string
+	Search    string
+	Query     json.RawMessage
+	Deadline  time.Time
+}
+
+// Coverage says how many shards of one index snapshot an answer covers.
+type Coverage struct {
+	Answered int      `json:"answered"`
+	Total    int      `json:"total"`
+	Missing  []string `json:"missing"`
+}
+
+// SearchReply is the end of one search. Items belong to one index snapshot
+// and are in the order of its shards. They are set only when Result.Code is
+// Answered.
+type SearchReply struct {
+	Result   outcome.Result
+	Snapshot string
+	Coverage Coverage
+	Items    []json.RawMessage
+}
+
+// Query is one search on its way through the chain. Filters fill it from top
+// to bottom; one goroutine owns it.
+type Query struct {
+	SearchRequest
+	Received time.Time
+	// Snap is the state that the whole query decides with.
+	Snap     *state.Snapshot
+	Search   declare.Search
+	Priority Priority
+	// Attempt counts restarts on another index snapshot.
+	Attempt int
+	// Excluded are the index snapshots that replicas no longer have.
+	Excluded []string
+	Plan     Plan
+
+	// mayRestart says whether another index snapshot is left to restart on.
+	mayRestart bool
+	// gone is set when the query has to restart on another index snapshot.
+	gone bool
+}
+
+// Handler answers a query. It is safe for concurrent use.
+type Handler func(ctx context.Context, q *Query) SearchReply
+
+// Filter wraps a Handler.
+type Filter func(next Handler) Handler
+
+// Chain returns last wrapped in the filters, the first of them outermost.
+func Chain(last Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		last = filters[i](last)
+	}
+	return last
+}
+
+func refused(r outcome.Reason) SearchReply {
+	return SearchReply{Result: outcome.Refused(r)}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// Options are the settings of a Gateway.
+type Options struct {
+	// Zone is the availability zone of the instance.
+	Zone string
+	// MaxInFlight bounds the requests in flight, by default 256.
+	MaxInFlight int
+	// Trace logs the whole input of each plan.
+	Trace  bool
+	Policy Policy
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
+}
+
+// Gateway answers searches and at-most-once requests of callers. It is safe
+// for concurrent use and takes no lock on the path of a request.
+type Gateway struct {
+	logger    *log.Logger
+	store     *state.Store
+	fresh     Freshness
+	executor  Executor
+	route     RouteFunc
+	notSent   NotSentFunc
+	zone      string
+	trace     bool
+	policy    Policy
+	admission *Admission
+	budget    *Budget
+	stats     *Stats
+	metrics   *metrics
+	latest    atomic.Pointer[view]
+	chain     Handler
+}
+
+// NewGateway returns a Gateway.
+func NewGateway(logger *log.Logger, store *state.Store, fresh Freshness, executor Executor, route RouteFunc, notSent NotSentFunc, o Options) *Gateway {
+	if logger == nil {
+		logger = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	}
+	if o.MaxInFlight == 0 {
+		o.MaxInFlight = 256
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	g := &Gateway{
+		logger: logger, store: store, fresh: fresh, executor: executor, route: route, notSent: notSent,
+		zone: o.Zone, trace: o.Trace, policy: o.Policy.withDefaults(),
+		admission: NewAdmission(o.MaxInFlight), budget: &Budget{}, stats: &Stats{}, metrics: newMetrics(o.Scope),
+	}
+	g.chain = Chain(g.scatter, g.validate, g.freshness, g.admit, g.deadline, g.plan)
+	return g
+}
+
+// Search answers one search. The reply is decided shortly before the deadline
+// of the request at the latest. If ctx is cancelled, the work ends.
+func (g *Gateway) Search(ctx context.Context, req SearchRequest) SearchReply {
+	q := &Query{SearchRequest: req, Received: time.Now()}
+	r := g.chain(ctx, q)
+	took := time.Since(q.Received)
+	g.metrics.search(req.Search, r, took)
+	g.metrics.tokens.Update(g.budget.Tokens())
+	g.metrics.inFlight.Update(float64(g.admission.InFlight()))
+	if r.Result.Code != outcome.Answered || r.Coverage.Answered < r.Coverage.Total {
+		g.logger.Info().Str("request_id", req.RequestID).Str("search", req.Search).
+			Str("outcome", string(r.Result.Code)).Str("reason", string(r.Result.Reason)).
+			Int("answered", r.Coverage.Answered).Int("total", r.Coverage.Total).
+			Dur("took", took).Msg("search not answered in full")
+	}
+	return r
+}
+
+// InFlight returns the number of requests in flight.
+func (g *Gateway) InFlight() int { return g.admission.InFlight() }
--- /dev/null
+++ b/internal/gateway/hedge.go
@@ -0,0 +1,62 @@
+package gateway
+
+import "time"
+
+const (
+	minHedgeDelay = 2 * time.Millisecond
+	// coldHedgeDelay applies while a service has too few samples for a
+	// quantile. It only catches replicas that hang.
+	coldHedgeDelay = 250 * time.Millisecond
+	maxHedgeWaits  = 3
+)
+
+// hedgeDelay returns the time after which a sub-request may be hedged.
+func (g *Gateway) hedgeDelay(service string, now time.Time) (time.Duration, bool) {
+	switch g.policy.Hedging {
+	case HedgeOff:
+		return 0, false
+	case HedgeFixed:
+		return g.policy.FixedDelay, true
+	}
+	p95, ok := g.stats.service(service).P95(now)
+	if !ok {
+		return coldHedgeDelay, true
+	}
+	return max(p95, minHedgeDelay), true
+}
+
+// sendHedges sends the hedges that are due. A hedge without a token waits for
+// the delay once more, because first attempts of other queries add tokens.
+func (s *scatterRun) sendHedges() {
+	now := time.Now()
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.done || sh.hedgeAt.IsZero() || sh.hedgeAt.After(now) {
+			continue
+		}
+		sh.hedgeAt = time.Time{}
+		if sh.hedged || sh.live != 1 {
+			continue
+		}
+		next := sh.next
+		c, ok := s.nextReplica(sh)
+		if !ok || c.Tier > 0 {
+			sh.next = next
+			continue
+		}
+		if why := s.g.mayAddLoad(c, false); why != "" {
+			sh.next = next
+			if d, ok := s.g.hedgeDelay(sh.plan.Service, now); ok && sh.hedgeWaits < maxHedgeWaits {
+				sh.hedgeWaits++
+				sh.hedgeAt = now.Add(d)
+			} else {
+				s.logRefused(i, "hedge", c, why)
+			}
+			continue
+		}
+		sh.hedged = true
+		s.g.metrics.hedges.Inc(1)
+		s.logDecision(i, "hedge", c, string(s.g.policy.Hedging))
+		s.send(i, c, true)
+	}
+}
--- /dev/null
+++ b/internal/gateway/plan.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// defaultLatencyMicros stands in for the latency of a target that nobody has
+// measured yet.
+const defaultLatencyMicros = 10_000
+
+// PlanInput is all that a plan depends on. It can be written as JSON, read
+// back and planned again with the same result.
+type PlanInput struct {
+	RequestID string          `json:"request_id"`
+	Search    string          `json:"search"`
+	Zone      string          `json:"zone"`
+	Now       time.Time       `json:"now"`
+	Policy    Policy          `json:"policy"`
+	Excluded  []string        `json:"excluded,omitempty"`
+	Snapshot  *state.Snapshot `json:"snapshot"`
+	Observed  Observed        `json:"observed"`
+	// Routes are the holders of the targets of the search.
+	Routes map[string]string `json:"routes"`
+
+	view *view
+}
+
+// Plan is one index snapshot and, for each of its shards, the replicas to try.
+type Plan struct {
+	Snapshot string      `json:"snapshot"`
+	Shards   []ShardPlan `json:"shards"`
+	// Reason is set when there is nothing to send.
+	Reason outcome.Reason `json:"reason,omitempty"`
+}
+
+// ShardPlan lists the replicas of one shard, the preferred one first.
+type ShardPlan struct {
+	Shard    string   `json:"shard"`
+	Service  string   `json:"service"`
+	Replicas []Choice `json:"replicas"`
+}
+
+// Choice is one replica with its place in the order.
+type Choice struct {
+	Target   string `json:"target"`
+	Instance string `json:"instance"`
+	// Tier is 0 for a replica with room, 1 for a cold one at its limit and 2
+	// for an ejected one.
+	Tier int `json:"tier"`
+	// CostMicros is the expected time to an answer.
+	CostMicros int64 `json:"cost_micros"`
+	// Backlogged is set if the queue is longer than the slots.
+	Backlogged bool `json:"backlogged,omitempty"`
+}
+
+// MakePlan chooses the index snapshot and the order of the replicas. It is a
+// pure function.
+func MakePlan(in PlanInput) Plan {
+	v := in.view
+	if v == nil {
+		v = newView(in.Snapshot, func(_ *state.Snapshot, target string) string { return in.Routes[target] })
+	}
+	index, ok := chooseIndex(in, v)
+	if !ok {
+		return Plan{Reason: outcome.ReasonNoReplica}
+	}
+	p := planner{in: in, view: v, index: index.ID, planned: map[string]int{}}
+	plan := Plan{Snapshot: index.ID, Shards: make([]ShardPlan, 0, len(index.Shards))}
+	for i, shard := range index.Shards {
+		sp := ShardPlan{Shard: shard.ID, Service: shard.Service, Replicas: p.order(shard, i)}
+		if len(sp.Replicas) > 0 {
+			p.planned[sp.Replicas[0].Target]++
+		}
+		plan.Shards = append(plan.Shards, sp)
+	}
+	return plan
+}
+
+// chooseIndex returns the newest index snapshot for which each shard has a
+// replica that is not known to lack it, or else the one with the most such
+// shards.
+func chooseIndex(in PlanInput, v *view) (state.IndexSnapshot, bool) {
+	all := in.Snapshot.ShardMaps[in.Search].Snapshots
+	best, bestMissing := -1, 0
+	for i := len(all) - 1; i >= 0; i-- {
+		if len(all[i].Shards) == 0 || slices.Contains(in.Excluded, all[i].ID) {
+			continue
+		}
+		missing := 0
+		for _, shard := range all[i].Shards {
+			if !slices.ContainsFunc(v.byService[shard.Service], func(r replica) bool { return in.has(r, all[i].ID) }) {
+				missing++
+			}
+		}
+		if best < 0 || missing < bestMissing {
+			best, bestMissing = i, missing
+		}
+		if missing == 0 {
+			break
+		}
+	}
+	if best < 0 {
+		return state.IndexSnapshot{}, false
+	}
+	return all[best], true
+}
+
+func (in *PlanInput) has(r replica, index string) bool {
+	return !slices.Contains(in.Observed.Targets[r.target.Name].Lacks, index)
+}
+
+// planner orders the replicas of the shards of one plan. planned counts the
+// first choices so far, so that shards of one service spread over it.
+type planner struct {
+	in      PlanInput
+	view    *view
+	index   string
+	planned map[string]int
+}
+
+func (p *planner) order(shard state.Shard, position int) []Choice {
+	replicas := p.view.byService[shard.Service]
+	choices := make([]Choice, 0, len(replicas))
+	for _, r := range replicas {
+		if p.in.has(r, p.index) {
+			choices = append(choices, p.choice(r))
+		}
+	}
+	if p.in.Policy.ReplicaChoice == ChooseRoundRobin {
+		if len(choices) > 0 {
+			rotate(choices, int((p.in.Observed.Turn+uint64(position))%uint64(len(choices))))
+		}
+		slices.SortStableFunc(choices, func(a, b Choice) int { return a.Tier - b.Tier })
+		return withoutEjected(choices)
+	}
+	slices.SortFunc(choices, func(a, b Choice) int {
+		return cmp.Or(a.Tier-b.Tier, cmp.Compare(a.CostMicros, b.CostMicros), cmp.Compare(a.Target, b.Target))
+	})
+	choices = withoutEjected(choices)
+	usable := 0
+	for usable < len(choices) && choices[usable].Tier == choices[0].Tier {
+		usable++
+	}
+	if usable > 2 {
+		h := xxhash.Sum64String(p.in.RequestID + "/" + shard.ID)
+		first := int(h % uint64(usable))
+		second := int((h >> 32) % uint64(usable-1))
+		if second >= first {
+			second++
+		}
+		pick := min(first, second) // the choices are ordered by cost
+		chosen := choices[pick]
+		copy(choices[1:pick+1], choices[:pick])
+		choices[0] = chosen
+	}
+	return choices
+}
+
+// withoutEjected cuts off the ejected replicas of an ordered list unless there
+// are no others.
+func withoutEjected(c []Choice) []Choice {
+	n := slices.IndexFunc(c, func(c Choice) bool { return c.Tier == 2 })
+	if n > 0 {
+		return c[:n]
+	}
+	return c
+}
+
+func rotate(c []Choice, n int) {
+	slices.Reverse(c[:n])
+	slices.Reverse(c[n:])
+	slices.Reverse(c)
+}
+
+// choice computes the expected time to an answer: requests ahead and this one,
+// times smoothed latency, over the limit, plus the delay to the zone.
+func (p *planner) choice(r replica) Choice {
+	obs := p.in.Observed.Targets[r.target.Name]
+	load, known := p.in.Snapshot.Loads[r.target.Name]
+	if obs.Load != nil {
+		load, known = *obs.Load, true
+	}
+	if !known || load.Incarnation != r.target.Incarnation {
+		load = state.Load{Phase: state.PhaseCold, Limit: r.cold}
+	}
+	limit := max(load.Limit, 1)
+	// The reported load lags, so the own requests in flight are a lower bound.
+	ahead := max(load.InFlight+load.Queued, obs.InFlight) + p.planned[r.target.Name]
+	latency := cmp.Or(load.LatencyMicros, obs.LatencyMicros, defaultLatencyMicros)
+	c := Choice{
+		Target: r.target.Name, Instance: r.instance,
+		CostMicros: int64(ahead+1) * latency / int64(limit),
+		Backlogged: load.Queued > r.slots,
+	}
+	if r.target.Zone != p.in.Zone {
+		c.CostMicros += p.in.Policy.ZoneDelay.Microseconds()
+	}
+	switch load.Phase {
+	case state.PhaseEjected:
+		c.Tier = 2
+	case state.PhaseCold, state.PhaseWarming:
+		if ahead >= limit {
+			c.Tier = 1
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/gateway/planfilter.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// maxRestarts bounds the restarts of a query on another index snapshot.
+const maxRestarts = 2
+
+// plan chooses an index snapshot and replicas. When the replicas of a shard no
+// longer have the snapshot, the whole query starts again on another one, so
+// that results of two snapshots never meet.
+func (g *Gateway) plan(next Handler) Handler {
+	return func(ctx context.Context, q *Query) SearchReply {
+		for {
+			in := g.planInput(q)
+			q.Plan = MakePlan(in)
+			g.logPlan(q, in)
+			if q.Plan.Reason != outcome.ReasonNone {
+				return refused(q.Plan.Reason)
+			}
+			excluded := append(slices.Clip(q.Excluded), q.Plan.Snapshot)
+			q.gone = false
+			q.mayRestart = q.Attempt < maxRestarts && hasOtherIndex(g.store.Load().ShardMaps[q.Search.Name], excluded)
+			reply := next(ctx, q)
+			if !q.gone || ctx.Err() != nil {
+				return reply
+			}
+			q.Excluded = excluded
+			q.Snap = g.store.Load()
+			q.Attempt++
+			g.metrics.restarts.Inc(1)
+			g.logRestart(q)
+		}
+	}
+}
+
+func hasOtherIndex(m state.ShardMap, excluded []string) bool {
+	return slices.ContainsFunc(m.Snapshots, func(s state.IndexSnapshot) bool {
+		return len(s.Shards) > 0 && !slices.Contains(excluded, s.ID)
+	})
+}
+
+func (g *Gateway) planInput(q *Query) PlanInput {
+	now := time.Now()
+	v := g.view(q.Snap)
+	services := map[string]bool{}
+	for _, index := range q.Snap.ShardMaps[q.Search.Name].Snapshots {
+		for _, shard := range index.Shards {
+			services[shard.Service] = true
+		}
+	}
+	in := PlanInput{
+		RequestID: q.RequestID, Search: q.Search.Name, Zone: g.zone, Now: now,
+		Policy: g.policy, Excluded: q.Excluded, Snapshot: q.Snap,
+		Observed: g.stats.observe(v, services, now), view: v,
+	}
+	if g.trace {
+		in.Routes = map[string]string{}
+		for service := range services {
+			for _, r := range v.byService[service] {
+				in.Routes[r.target.Name] = r.instance
+			}
+		}
+	}
+	return in
+}
+
+// TraceRecord is the value of the field "trace" of a log line of a plan.
+type TraceRecord struct {
+	Input  PlanInput `json:"input"`
+	Output Plan      `json:"output"`
+}
+
+// logPlan writes the one line of the ordinary first attempts of a query.
+func (g *Gateway) logPlan(q *Query, in PlanInput) {
+	e := g.logger.Info()
+	if e == nil {
+		return
+	}
+	missing := 0
+	for _, s := range q.Plan.Shards {
+		if len(s.Replicas) == 0 {
+			missing++
+		}
+	}
+	e.Str("request_id", q.RequestID).Str("search", q.Search.Name).Int("attempt", q.Attempt).
+		Str("snapshot", q.Plan.Snapshot).Int("shards", len(q.Plan.Shards)).Int("without_replica", missing).
+		Int64("config_version", q.Snap.ConfigVersion).Str("reason", planReason(q))
+	if g.trace {
+		if raw, err := json.Marshal(TraceRecord{Input: in, Output: q.Plan}); err == nil {
+			e.RawJSON("trace", raw)
+		}
+	}
+	e.Msg("plan")
+}
+
+func planReason(q *Query) string {
+	switch {
+	case q.Plan.Reason != outcome.ReasonNone:
+		return string(q.Plan.Reason)
+	case q.Attempt > 0:
+		return "restart"
+	default:
+		return "first"
+	}
+}
+
+func (g *Gateway) logRestart(q *Query) {
+	g.logger.Info().Str("request_id", q.RequestID).Int("attempt", q.Attempt).
+		Strs("excluded", q.Excluded).Str("reason", string(outcome.ReasonSnapshotGone)).Msg("restart")
+}
--- /dev/null
+++ b/internal/gateway/policy.go
@@ -0,0 +1,63 @@
+package gateway
+
+import "time"
+
+// Hedging says when a second attempt of a sub-request is sent.
+type Hedging string
+
+// Values of Hedging.
+const (
+	HedgeP95   Hedging = "p95"
+	HedgeFixed Hedging = "fixed"
+	HedgeOff   Hedging = "off"
+)
+
+// ReplicaChoice says how a replica is chosen.
+type ReplicaChoice string
+
+// Values of ReplicaChoice.
+const (
+	ChooseLoad       ReplicaChoice = "load"
+	ChooseRoundRobin ReplicaChoice = "round-robin"
+)
+
+// Retries says what bounds retries.
+type Retries string
+
+// Values of Retries.
+const (
+	RetryBudget Retries = "budget"
+	RetryNaive  Retries = "naive"
+)
+
+// Policy holds the choices of section [policy] of the settings. The zero
+// value of each field means its default.
+type Policy struct {
+	Hedging       Hedging       `json:"hedging"`
+	ReplicaChoice ReplicaChoice `json:"replica_choice"`
+	Retries       Retries       `json:"retries"`
+	// FixedDelay is the hedge delay of HedgeFixed, by default 10 ms.
+	FixedDelay time.Duration `json:"fixed_delay"`
+	// ZoneDelay is the round trip to another zone that replica choice
+	// assumes, by default 8 ms.
+	ZoneDelay time.Duration `json:"zone_delay"`
+}
+
+func (p Policy) withDefaults() Policy {
+	if p.Hedging == "" {
+		p.Hedging = HedgeP95
+	}
+	if p.ReplicaChoice == "" {
+		p.ReplicaChoice = ChooseLoad
+	}
+	if p.Retries == "" {
+		p.Retries = RetryBudget
+	}
+	if p.FixedDelay <= 0 {
+		p.FixedDelay = 10 * time.Millisecond
+	}
+	if p.ZoneDelay <= 0 {
+		p.ZoneDelay = 8 * time.Millisecond
+	}
+	return p
+}
--- /dev/null
+++ b/internal/gateway/retry.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+)
+
+// wholePart checks the body of an answered attempt.
+func wholePart(req *peerpb.ExecuteRequest, e event) (outcome.Code, []rawItem, outcome.Reason) {
+	items, reason := readPart(req, e.body)
+	if reason != outcome.ReasonNone {
+		return outcome.Unknown, nil, reason
+	}
+	return outcome.Answered, items, outcome.ReasonNone
+}
+
+// recover decides what follows a failed attempt of a shard: another holder,
+// another replica or the end.
+func (s *scatterRun) recover(i int, failed Choice, e event) {
+	sh := &s.shards[i]
+	if e.reason == outcome.ReasonNoRight && e.holder != "" && e.holder != failed.Instance && sh.reroutes < maxHolderReroutes {
+		sh.reroutes++
+		failed.Instance = e.holder
+		s.reroute(i, failed, e.reason)
+		return
+	}
+	if sh.live > 0 {
+		return
+	}
+	c, ok := s.nextReplica(sh)
+	switch {
+	case !ok, s.ctx.Err() != nil, e.reason == outcome.ReasonExpired:
+		s.fail(sh, e.reason)
+	case !e.reachedTarget() && !e.isLoadRefusal():
+		// The target never saw the attempt, so this is not extra load. The
+		// number of replicas bounds it.
+		s.reroute(i, c, e.reason)
+	case sh.retries >= maxRetries:
+		s.fail(sh, e.reason)
+	default:
+		if why := s.g.mayAddLoad(c, s.g.policy.Retries == RetryNaive); why != "" {
+			s.logRefused(i, "retry", c, why)
+			s.fail(sh, e.reason)
+			return
+		}
+		sh.retries++
+		s.g.metrics.retries.Inc(1)
+		s.logDecision(i, "retry", c, string(e.reason))
+		s.send(i, c, false)
+	}
+}
+
+func (s *scatterRun) reroute(i int, c Choice, r outcome.Reason) {
+	s.g.metrics.reroutes.Inc(1)
+	s.logDecision(i, "reroute", c, string(r))
+	s.send(i, c, false)
+}
+
+// nextReplica returns the next replica that may still get new work. The state
+// may have changed since the plan: a zone may be out or a target leaving.
+func (s *scatterRun) nextReplica(sh *shardRun) (Choice, bool) {
+	snap := s.g.store.Load()
+	for sh.next < len(sh.plan.Replicas) {
+		c := sh.plan.Replicas[sh.next]
+		sh.next++
+		if t, ok := snap.Targets[c.Target]; ok && isUsable(snap, t) {
+			return c, true
+		}
+	}
+	return Choice{}, false
+}
+
+// mayAddLoad takes a token for an extra sub-request, or says why not.
+func (g *Gateway) mayAddLoad(c Choice, naive bool) string {
+	switch {
+	case naive:
+		return ""
+	case g.budget.Overloaded(time.Now()):
+		return "overload"
+	case c.Backlogged:
+		return "queue"
+	case !g.budget.Take():
+		g.metrics.budgetEmpty.Inc(1)
+		return "budget"
+	}
+	return ""
+}
+
+func (s *scatterRun) logDecision(i int, kind string, c Choice, reason string) {
+	sh := &s.shards[i]
+	s.g.logger.Info().Str("request_id", s.q.RequestID).Str("attempt_id", attemptID(s.q, i, len(sh.attempts))).
+		Str("shard", sh.plan.Shard).Str("target", c.Target).Str("instance", c.Instance).
+		Str("reason", reason).Msg(kind)
+}
+
+func (s *scatterRun) logRefused(i int, kind string, c Choice, reason string) {
+	sh := &s.shards[i]
+	s.g.logger.Info().Str("request_id", s.q.RequestID).Str("attempt_id", sh.attempts[len(sh.attempts)-1].id).
+		Str("shard", sh.plan.Shard).Str("target", c.Target).Str("refused", kind).
+		Str("reason", reason).Msg("refuse")
+}
--- /dev/null
+++ b/internal/gateway/stats.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+const (
+	// replyLoadLife is how long a load that came with a reply replaces the
+	// one in the snapshot, which lags by up to a few heartbeats.
+	replyLoadLife = 500 * time.Millisecond
+	// lackingLife is how long a replica is known to lack an index snapshot.
+	lackingLife = 5 * time.Second
+)
+
+// Stats are the observations of one entry. All methods are lock-free on
+// entries that exist and safe for concurrent use.
+type Stats struct {
+	services sync.Map // service name to *Latency
+	targets  sync.Map // target name to *targetStats
+	lacking  sync.Map // lackKey to Unix nanoseconds of its end
+	turn     atomic.Uint64
+}
+
+type lackKey struct{ target, incarnation, snapshot string }
+
+type targetStats struct {
+	inFlight atomic.Int64
+	micros   atomic.Int64 // smoothed latency
+	load     atomic.Pointer[timedLoad]
+}
+
+type timedLoad struct {
+	load state.Load
+	at   time.Time
+}
+
+func (s *Stats) service(name string) *Latency {
+	if v, ok := s.services.Load(name); ok {
+		return v.(*Latency)
+	}
+	v, _ := s.services.LoadOrStore(name, &Latency{})
+	return v.(*Latency)
+}
+
+func (s *Stats) target(name string) *targetStats {
+	if v, ok := s.targets.Load(name); ok {
+		return v.(*targetStats)
+	}
+	v, _ := s.targets.LoadOrStore(name, &targetStats{})
+	return v.(*targetStats)
+}
+
+// smooth moves the average by an eighth towards the new latency.
+func (t *targetStats) smooth(d time.Duration) {
+	for {
+		old := t.micros.Load()
+		next := max(d.Microseconds(), 1)
+		if old != 0 {
+			next = max(old+(next-old)/8, 1)
+		}
+		if t.micros.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+func (s *Stats) noteLacking(t state.Target, snapshot string, now time.Time) {
+	s.lacking.Store(lackKey{t.Name, t.Incarnation, snapshot}, now.Add(lackingLife).UnixNano())
+}
+
+// TargetObservation is what an entry knows of a target beside the snapshot.
+type TargetObservation struct {
+	InFlight      int   `json:"in_flight,omitempty"`
+	LatencyMicros int64 `json:"latency_micros,omitempty"`
+	// Load came with a recent reply and replaces the one in the snapshot.
+	Load *state.Load `json:"load,omitempty"`
+	// Lacks are the index snapshots that the target does not have.
+	Lacks []string `json:"lacks,omitempty"`
+}
+
+// Observed are the statistics that a plan depends on.
+type Observed struct {
+	Targets map[string]TargetObservation `json:"targets"`
+	// Turn is the position of round-robin.
+	Turn uint64 `json:"turn"`
+}
+
+// observe copies the statistics of the targets.
+func (s *Stats) observe(v *view, services map[string]bool, now time.Time) Observed {
+	o := Observed{Targets: map[string]TargetObservation{}, Turn: s.turn.Add(1)}
+	for service := range services {
+		for _, r := range v.byService[service] {
+			t := s.target(r.target.Name)
+			obs := TargetObservation{InFlight: int(t.inFlight.Load()), LatencyMicros: t.micros.Load()}
+			if l := t.load.Load(); l != nil && now.Sub(l.at) < replyLoadLife && l.load.Incarnation == r.target.Incarnation {
+				obs.Load = &l.load
+			}
+			o.Targets[r.target.Name] = obs
+		}
+	}
+	s.lacking.Range(func(k, until any) bool {
+		key := k.(lackKey)
+		if until.(int64) <= now.UnixNano() {
+			s.lacking.CompareAndDelete(k, until)
+			return true
+		}
+		obs, ok := o.Targets[key.target]
+		if ok && v.incarnation[key.target] == key.incarnation {
+			obs.Lacks = append(obs.Lacks, key.snapshot)
+			o.Targets[key.target] = obs
+		}
+		return true
+	})
+	return o
+}
