--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,7 +121,8 @@
 	case ctx.Err() != nil:
 		return outcome.Unknown, outcome.ReasonTimeout
 	default:
-		return outcome.Unknown, outcome.ReasonUnreachable
+		// The call broke off before its reply arrived.
+		return outcome.Unknown, outcome.ReasonTruncated
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/load_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// Guards against orders and complete searches being refused while browsing is
+// still admitted, and against a refusal that sends something.
+func TestAdmissionOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeExecutor{do: scripted("* ok 500ms")}
+		store := fixture(1, declare.ClassPartial)
+		store.Update(func(next *state.Snapshot) {
+			next.Config.Searches = []declare.Search{
+				{Name: "browse", Class: declare.ClassPartial, Priority: declare.PriorityBrowse},
+				{Name: "normal", Class: declare.ClassPartial},
+				{Name: "complete", Class: declare.ClassComplete, Priority: declare.PriorityBrowse},
+			}
+			m := next.ShardMaps["archive"]
+			next.ShardMaps = map[string]state.ShardMap{"browse": m, "normal": m, "complete": m}
+		})
+		g := newGateway(store, f, Options{MaxInFlight: 20, Policy: Policy{Hedging: HedgeOff}})
+		var admitted [3]atomic.Int64
+		for i, name := range []string{"browse", "normal", "complete"} {
+			for j := range 30 {
+				go func() {
+					req := request(100*i + j)
+					req.Search = name
+					if g.Search(t.Context(), req).Result.Reason != outcome.ReasonOverload {
+						admitted[i].Add(1)
+					}
+				}()
+			}
+			synctest.Wait()
+		}
+		if r := g.Single(t.Context(), "r", declare.Operation{Services: []string{"s0"}}, nil, time.Now().Add(time.Second)); r.Reason != outcome.ReasonOverload || r.Code != outcome.NotRun {
+			t.Errorf("an operation above the bound ended with %+v", r)
+		}
+		time.Sleep(time.Second)
+		got := fmt.Sprint(admitted[0].Load(), admitted[1].Load(), admitted[2].Load(), len(f.sent))
+		if got != "14 3 3 20" {
+			t.Fatalf("admitted browse, normal, complete and sent: %s", got)
+		}
+	})
+}
+
+// Guards against hedges that wait too long or come too early, go out under
+// overload, to a backlogged holder or without a token, and against losers
+// that run on.
+func TestHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		policy  Policy
+		change  func(g *Gateway, store *state.Store)
+		hedged  bool
+		earlier time.Duration
+	}{
+		"p95":     {Policy{}, nil, true, 6 * time.Millisecond},
+		"fixed":   {Policy{Hedging: HedgeFixed, FixedDelay: 40 * time.Millisecond}, nil, true, 42 * time.Millisecond},
+		"off":     {Policy{Hedging: HedgeOff}, nil, false, 0},
+		"no load": {Policy{}, func(g *Gateway, _ *state.Store) { g.budget.NoteOverload(time.Now().Add(500 * time.Millisecond)) }, false, 0},
+		"queue": {Policy{}, func(_ *Gateway, s *state.Store) {
+			setLoad(s, state.Load{Target: "s0-b", Phase: state.PhaseWarm, Limit: 2, Queued: 3})
+		}, false, 0},
+		"tokens": {Policy{}, func(g *Gateway, _ *state.Store) { g.budget.milli.Store(0) }, false, 0},
+		"leaving since the plan": {Policy{}, func(_ *Gateway, s *state.Store) {
+			time.AfterFunc(time.Millisecond, func() {
+				s.Update(func(next *state.Snapshot) { next.Config.RetiredTargets = []string{"s0-b"} })
+			})
+		}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cancelled := false
+				f := &fakeExecutor{}
+				f.do = func(ctx context.Context, _ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+					if req.Target == "s0-b" {
+						return whole(req), after(ctx, time.Millisecond)
+					}
+					err := after(ctx, 800*time.Millisecond)
+					cancelled = err != nil
+					return whole(req), err
+				}
+				store := fixture(1, declare.ClassPartial)
+				g := newGateway(store, f, Options{Policy: c.policy})
+				g.budget.milli.Store(maxMilli)
+				for i := range 100 { // the p95 is 4 ms
+					g.stats.service("s0").Record(time.Now(), time.Duration(1+i/31)*time.Millisecond)
+				}
+				if c.change != nil {
+					c.change(g, store)
+				}
+				start := time.Now()
+				r := g.Search(t.Context(), request(1))
+				took := time.Since(start)
+				synctest.Wait()
+				if r.Result.Code != outcome.Answered || (len(f.sent) == 2) != c.hedged || cancelled != c.hedged {
+					t.Fatalf("%+v, %d sent, loser cancelled %v", r, len(f.sent), cancelled)
+				}
+				if c.hedged && (took < c.earlier-time.Millisecond*2 || took > c.earlier) {
+					t.Fatalf("answered after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a late reply of a losing attempt or of an earlier index
+// snapshot reaching the answer: the executor ignores the cancellation.
+func TestLateRepliesAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeExecutor{}
+		f.do = func(_ context.Context, _ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+			if req.Snapshot == "v2" && req.Shard == "p1" {
+				return notRun(req, outcome.ReasonSnapshotGone), nil
+			}
+			if req.Snapshot == "v2" || req.Target == "s0-a" {
+				time.Sleep(300 * time.Millisecond) // longer than the delay of a hedge
+			}
+			return whole(req, req.Snapshot+"."+req.Target), nil
+		}
+		g := newGateway(fixture(2, declare.ClassComplete), f, Options{})
+		g.budget.milli.Store(maxMilli)
+		r := g.Search(t.Context(), request(1))
+		if got := fmt.Sprintf("%s %s", r.Snapshot, r.Items); got != `v1 ["v1.s0-b" "v1.s1-a"]` {
+			t.Fatal(got)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against a quantile from too few or outdated samples, and against one
+// that is off by more than a bucket.
+func TestLatencyQuantile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Latency{}
+		for i := range minSamples - 1 {
+			l.Record(time.Now(), time.Duration(i)*time.Millisecond)
+		}
+		if _, ok := l.P95(time.Now()); ok {
+			t.Fatal("quantile from too few samples")
+		}
+		for i := range 1000 {
+			l.Record(time.Now(), time.Duration(i)*100*time.Microsecond)
+		}
+		time.Sleep(quantileLife)
+		if p, ok := l.P95(time.Now()); !ok || p < 94*time.Millisecond || p > 107*time.Millisecond {
+			t.Fatalf("p95 %v, %v", p, ok)
+		}
+		time.Sleep(latencyWindows * windowLength)
+		if p, ok := l.P95(time.Now()); ok {
+			t.Fatalf("p95 %v from outdated samples", p)
+		}
+	})
+}
