Wire the daemon

Cause: the packages had no process around them. Change: package daemon wires them, serves peers and callers and shuts down in steps; cmd/baobabsill parses flags and signals. Measured: it builds and prints its help; the whole path has not been run yet.

--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -1,4 +1,92 @@
-// Command baobabsill is not wired yet.
+// Command baobabsill runs one instance of the query tier.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/daemon"
+	"github.com/baobabsill/baobabsill/internal/settings"
+)
+
+const version = "0.1.0"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitBadInput = 2
+)
+
+func main() {
+	app := kingpin.New("baobabsill", "One instance of the baobabsill query tier.").Version(version)
+	run := app.Command("run", "Serve until SIGTERM or SIGINT; a second signal cuts the graceful shutdown short.")
+	runConfig := run.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
+	check := app.Command("check-config", "Check a settings file and open nothing.")
+	checkConfig := check.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
+
+	command, err := app.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "baobabsill: %v, try --help\n", err)
+		os.Exit(exitBadInput)
+	}
+	if command == check.FullCommand() {
+		load(*checkConfig)
+		fmt.Printf("%s: ok\n", *checkConfig)
+		return
+	}
+	os.Exit(serve(load(*runConfig)))
+}
+
+// load reads the settings and ends the process if there is any fault.
+func load(path string) settings.Settings {
+	s, faults := settings.Load(path)
+	for _, fault := range faults {
+		fmt.Fprintln(os.Stderr, fault)
+	}
+	if len(faults) > 0 {
+		os.Exit(exitBadInput)
+	}
+	return s
+}
+
+func serve(s settings.Settings) int {
+	logger := &log.Logger{
+		Level:   log.ParseLevel(s.Log.Level),
+		Writer:  &log.IOWriter{Writer: os.Stderr},
+		Context: log.NewContext(nil).Str("instance", s.Instance.Name).Value(),
+	}
+	d, err := daemon.New(logger, s)
+	if err != nil {
+		logger.Error().Err(err).Msg("instance not started")
+		return exitFailure
+	}
+	stop, force := signalContexts()
+	if err := d.Run(stop, force); err != nil {
+		logger.Error().Err(err).Msg("instance failed")
+		return exitFailure
+	}
+	return exitOK
+}
+
+// signalContexts returns a context that ends at the first signal and one that
+// ends at the second.
+func signalContexts() (stop, force context.Context) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop, cancelStop := context.WithCancel(context.Background())
+	force, cancelForce := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancelStop()
+		<-signals
+		cancelForce()
+	}()
+	return stop, force
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,206 @@
+// Package daemon wires one instance of baobabsill and runs it from start to
+// graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/baobabsill/baobabsill/internal/api"
+	"github.com/baobabsill/baobabsill/internal/control"
+	"github.com/baobabsill/baobabsill/internal/dispatch"
+	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/once"
+	"github.com/baobabsill/baobabsill/internal/peer"
+	"github.com/baobabsill/baobabsill/internal/placement"
+	"github.com/baobabsill/baobabsill/internal/platform"
+	"github.com/baobabsill/baobabsill/internal/settings"
+	"github.com/baobabsill/baobabsill/internal/state"
+	"github.com/baobabsill/baobabsill/internal/target"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("daemon")
+
+// Daemon is one instance.
+type Daemon struct {
+	logger   *log.Logger
+	settings settings.Settings
+	self     control.Self
+
+	store      *state.Store
+	platform   *platform.Client
+	conns      *peer.Conns
+	freshness  *control.Freshness
+	sync       *control.Sync
+	targets    *control.TargetList
+	membership *control.Membership
+	rights     *placement.Rights
+	placement  *placement.Controller
+	pool       *target.Pool
+	dispatcher *dispatch.Dispatcher
+	gateway    *gateway.Gateway
+	once       *once.Manager
+	janitor    *once.JanitorController
+	peers      *peer.Server
+	api        *api.Server
+	metrics    io.Closer
+}
+
+// New wires an instance. It opens no socket.
+func New(logger *log.Logger, s settings.Settings) (*Daemon, error) {
+	source, err := hostIP(s.Instance.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		logger: logger, settings: s, store: state.NewStore(),
+		self: control.Self{
+			Name: s.Instance.Name, Incarnation: rand.Text()[:12], Zone: s.Instance.Zone,
+			PeerAddress: s.Instance.PeerAddress, CallerAddress: s.Instance.CallerAddress, Seeds: s.Instance.Seeds,
+		},
+	}
+	d.platform = platform.NewClient(s.Platform.Address, s.Platform.Timeout, platform.WithSource(source))
+	d.conns = peer.NewConns(logger, source)
+	scope, metricsHandler, closer := api.NewMetrics()
+	d.metrics = closer
+
+	d.pool = target.NewPool(logger, scope, target.Options{LocalIP: source})
+	d.rights = placement.NewRights(d.self.Name, d.self.Zone, d.store)
+	d.freshness = control.NewFreshness(logger)
+	d.sync = control.NewSync(logger, d.self, d.store, d.platform, d.conns, d.freshness)
+	d.targets = control.NewTargetList(logger, d.self, d.store, d.sync, d.platform)
+	d.membership = control.NewMembership(logger, d.self, d.store, d.conns, d.sync, d.freshness, d.rights, d.pool, d.platform)
+	d.placement = placement.NewController(logger, placement.Config{
+		Self: d.self.Name, Zone: d.self.Zone, Store: d.store, Rights: d.rights,
+		Platform: d.platform, Pool: d.pool, Peers: d.conns, Apply: d.sync.Apply, Ready: d.hasConfig,
+	})
+	d.dispatcher = dispatch.NewDispatcher(logger, scope, d.self.Name, d.store, dispatchRights{d.rights}, d.pool)
+	d.gateway = gateway.NewGateway(logger, d.store, d.freshness, d, d.route, peer.NotSent, gateway.Options{
+		Zone: d.self.Zone, MaxInFlight: s.Limits.MaxInFlight, Trace: s.Log.Trace, Scope: scope,
+		Policy: gateway.Policy{
+			Hedging:       gateway.Hedging(s.Policy.Hedging),
+			ReplicaChoice: gateway.ReplicaChoice(s.Policy.ReplicaChoice),
+			Retries:       gateway.Retries(s.Policy.Retries),
+		},
+	})
+	d.once = once.NewManager(logger, once.Self{Name: d.self.Name, Incarnation: d.self.Incarnation}, d.store, d.platform, d.gateway, d)
+	d.janitor = once.NewJanitorController(logger, d.platform, d.isZoneLeader)
+	d.peers = peer.NewServer(logger, s.Instance.PeerListen, peerService{d})
+	d.api = api.NewServer(logger, api.Options{
+		Listen: s.Instance.CallerListen, MaxBodyBytes: int(s.Limits.MaxBodyBytes),
+		DefaultDeadline: s.Limits.DefaultDeadline, MaxDeadline: s.Limits.MaxDeadline, Metrics: metricsHandler,
+	}, d.gateway, onceAPI{d.once}, d)
+	return d, nil
+}
+
+// Run serves until stop ends and then shuts down gracefully. force cuts the
+// shutdown short. The error is nil after a complete graceful shutdown.
+func (d *Daemon) Run(stop, force context.Context) error {
+	if err := d.peers.Listen(); err != nil {
+		return Error.New("peer address: %v", err)
+	}
+	if _, err := d.api.Listen(); err != nil {
+		return Error.New("caller address: %v", err)
+	}
+	d.logger.Info().Str("event", "start").Str("instance", d.self.Name).Str("zone", d.self.Zone).
+		Str("incarnation", d.self.Incarnation).Msg("instance starts")
+
+	ctx, cancel := context.WithCancel(context.WithoutCancel(force))
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context) error{
+		d.peers.Run, d.api.Run, d.sync.Run, d.targets.Run, d.membership.Run,
+		d.placement.Run, d.dispatcher.Run, d.janitor.Run, d.becomeReady,
+	} {
+		group.Go(func() error { return run(ctx) })
+	}
+	select {
+	case <-stop.Done():
+	case <-ctx.Done(): // a server failed
+		return group.Wait()
+	}
+	err := d.shutdown(force)
+	cancel()
+	return errs.Combine(err, group.Wait(), d.close())
+}
+
+func (d *Daemon) close() error {
+	d.rights.Close()
+	d.pool.Close()
+	d.conns.Close()
+	d.platform.Close()
+	return d.metrics.Close()
+}
+
+// hasConfig reports whether a configuration is in force.
+func (d *Daemon) hasConfig() bool { return d.store.Load().ConfigVersion > 0 }
+
+// placementWait is how long a starting instance waits for the placements of
+// all zones. During an outage of the platform it may never see them.
+const placementWait = 3 * time.Second
+
+// becomeReady announces the instance once it knows what to serve.
+func (d *Daemon) becomeReady(ctx context.Context) error {
+	const checkInterval = 50 * time.Millisecond
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	var configured time.Time
+	for {
+		snap := d.store.Load()
+		known := snap.ConfigVersion > 0 && len(snap.Targets) > 0
+		if known && configured.IsZero() {
+			configured = time.Now()
+		}
+		if known && (isPlaced(snap) || time.Since(configured) > placementWait) {
+			d.membership.SetState(control.StateReady)
+			d.logger.Info().Str("event", "ready").Int64("config_version", snap.ConfigVersion).Msg("instance is ready")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// isPlaced reports whether each zone with targets has a placement.
+func isPlaced(snap *state.Snapshot) bool {
+	for _, t := range snap.Targets {
+		if _, ok := snap.Placements[t.Zone]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// isZoneLeader reports whether this instance has the lowest name among the
+// live ones of its zone.
+func (d *Daemon) isZoneLeader() bool {
+	for _, i := range d.store.Load().Instances {
+		if i.Zone == d.self.Zone && i.Liveness == state.Alive && i.Name < d.self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+func hostIP(address string) (net.IP, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ip := net.ParseIP(host)
+	if ip.IsUnspecified() {
+		return nil, nil
+	}
+	return ip, nil
+}
--- /dev/null
+++ b/internal/daemon/peerservice.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+)
+
+// peerService serves the peer protocol with the parts of the daemon.
+type peerService struct{ *Daemon }
+
+// Execute runs a sub-request on a target that this instance holds.
+func (s peerService) Execute(ctx context.Context, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+	return s.dispatcher.Execute(ctx, req), nil
+}
+
+// Exchange answers a heartbeat.
+func (s peerService) Exchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return s.membership.Exchange(ctx, req)
+}
+
+// Fetch returns objects that are newer than those of the caller.
+func (s peerService) Fetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return s.sync.Fetch(ctx, req)
+}
+
+// Handover takes the state of targets over.
+func (s peerService) Handover(ctx context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return s.placement.Handover(ctx, req)
+}
+
+// RunOnce runs or settles an at-most-once request.
+func (s peerService) RunOnce(ctx context.Context, req *peerpb.RunOnceRequest) (*peerpb.RunOnceReply, error) {
+	return s.once.ServePeer(ctx, req), nil
+}
--- /dev/null
+++ b/internal/daemon/shutdown.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/baobabsill/baobabsill/internal/control"
+)
+
+// leaveTimeout bounds the removal of the own object from the platform.
+const leaveTimeout = 2 * time.Second
+
+// shutdown stops the instance in an order that refuses nothing which could
+// have been served: readiness goes first, then the targets pass to their new
+// holders while requests still arrive, and the sockets close last.
+func (d *Daemon) shutdown(force context.Context) error {
+	d.membership.SetState(control.StateDraining)
+	d.logger.Info().Str("event", "drain").Msg("instance drains")
+	select {
+	case <-time.After(d.settings.Shutdown.DrainDelay):
+	case <-force.Done():
+	}
+
+	ctx, cancel := context.WithTimeout(force, d.settings.Shutdown.DrainTimeout)
+	defer cancel()
+	var failed errs.Group
+	failed.Add(named("placement", d.placement.Release(ctx)))
+	failed.Add(named("caller requests", d.api.Shutdown(ctx)))
+	failed.Add(named("at-most-once requests", d.once.Close(ctx)))
+
+	leave, cancelLeave := context.WithTimeout(force, leaveTimeout)
+	defer cancelLeave()
+	failed.Add(named("instance object", d.membership.Leave(leave)))
+	failed.Add(named("peer requests", d.peers.Shutdown(ctx)))
+	if force.Err() != nil {
+		return Error.New("shutdown cut short by a second signal: %v", failed.Err())
+	}
+	if err := failed.Err(); err != nil {
+		// A platform outage or a stuck target must not fail a planned stop:
+		// peers notice the missing heartbeats.
+		d.logger.Warn().Str("event", "drain").Err(err).Msg("not everything was handed over")
+	}
+	d.logger.Info().Str("event", "stop").Msg("instance stopped")
+	return nil
+}
+
+func named(step string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return Error.New("%s: %v", step, err)
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/baobabsill/baobabsill/internal/state"
+	"github.com/baobabsill/baobabsill/internal/status"
+)
+
+// Status returns the view of this instance, sorted by name.
+func (d *Daemon) Status() status.Document {
+	snap := d.store.Load()
+	return status.Document{
+		Instance: d.self.Name, Incarnation: d.self.Incarnation, Zone: d.self.Zone,
+		State: d.membership.State(), CutOff: d.freshness.CutOff(),
+		PlatformReachable: d.platform.Reachable(), ConfigVersion: snap.ConfigVersion,
+		Instances: statusInstances(snap), Zones: statusZones(snap), Targets: d.statusTargets(snap),
+	}
+}
+
+func statusInstances(snap *state.Snapshot) []status.Instance {
+	all := []status.Instance{}
+	for _, i := range snap.Instances {
+		all = append(all, status.Instance{
+			Name: i.Name, Zone: i.Zone, Liveness: string(i.Liveness),
+			ConfigVersion: i.ConfigVersion, CallerAddress: i.CallerAddress,
+		})
+	}
+	slices.SortFunc(all, func(a, b status.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func statusZones(snap *state.Snapshot) []status.Zone {
+	all := []status.Zone{}
+	for _, z := range snap.Config.Zones {
+		p := snap.Placements[z.Name]
+		all = append(all, status.Zone{Name: z.Name, Out: z.Out, PlacementEpoch: p.Epoch, Members: p.Members})
+	}
+	return all
+}
+
+func (d *Daemon) statusTargets(snap *state.Snapshot) []status.Target {
+	loads := maps.Clone(snap.Loads)
+	for _, l := range d.pool.Loads() {
+		loads[l.Target] = l
+	}
+	all := []status.Target{}
+	for _, t := range snap.Targets {
+		l := loads[t.Name]
+		phase := string(l.Phase)
+		if snap.IsLeaving(t) {
+			phase = string(state.PhaseLeaving)
+		}
+		all = append(all, status.Target{
+			Name: t.Name, Service: t.Service, Zone: t.Zone, Holder: d.route(snap, t.Name),
+			Phase: phase, Limit: l.Limit, InFlight: l.InFlight, Queued: l.Queued,
+		})
+	}
+	slices.SortFunc(all, func(a, b status.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
