--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -55,6 +55,7 @@
 	DrainHeader   DrainMode = "header"   // X-Drain only
 	DrainList     DrainMode = "list"     // instance list only
 	DrainRefuse   DrainMode = "refuse"   // 503 draining and the instance list
+	DrainSilent   DrainMode = "silent"   // no sign; only the arrivals are counted
 )
 
 // New returns a target that is not started.
