Test the control side over a fake network and platform

Cause: membership, sync, target list, freshness and placement had no tests. Change: tests under synctest that run the real controllers of several instances.

--- /dev/null
+++ b/internal/control/fake_test.go
@@ -0,0 +1,319 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/placement"
+	"github.com/baobabsill/baobabsill/internal/platform"
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// fakePlatform keeps objects in memory and counts the placement writes.
+type fakePlatform struct {
+	mu      sync.Mutex
+	rev     int64
+	objects map[objectKey]platform.Object
+	changed chan struct{}
+	items   []platform.TargetItem
+	down    map[string]bool // by instance; "" for all
+	writes  int
+	slow    time.Duration // delay of the answer of a read
+}
+
+// platformLink is the platform as one instance reaches it.
+type platformLink struct {
+	*fakePlatform
+	name string
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{objects: map[objectKey]platform.Object{}, changed: make(chan struct{}), down: map[string]bool{}}
+}
+
+func (p *fakePlatform) set(name string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down[name] = down
+}
+
+func (p *platformLink) enter() error {
+	p.mu.Lock()
+	if p.down[""] || p.down[p.name] {
+		p.mu.Unlock()
+		return platform.ErrUnavailable.New("down")
+	}
+	return nil
+}
+
+func (p *platformLink) Get(_ context.Context, kind, name string) (platform.Object, error) {
+	if err := p.enter(); err != nil {
+		return platform.Object{}, err
+	}
+	o, ok := p.objects[objectKey{kind, name}]
+	p.mu.Unlock()
+	time.Sleep(p.slow)
+	if !ok || o.Deleted {
+		return platform.Object{}, platform.ErrNotFound.New("%s/%s", kind, name)
+	}
+	return o, nil
+}
+
+func (p *platformLink) Put(_ context.Context, kind, name string, value json.RawMessage, ifVersion int64) (int64, error) {
+	if err := p.enter(); err != nil {
+		return 0, err
+	}
+	defer p.mu.Unlock()
+	return p.put(platform.Object{Kind: kind, Name: name, Value: value}, ifVersion)
+}
+
+func (p *fakePlatform) put(o platform.Object, ifVersion int64) (int64, error) {
+	key := objectKey{o.Kind, o.Name}
+	current := p.objects[key]
+	if current.Deleted {
+		current.Version = 0
+	}
+	if ifVersion >= 0 && current.Version != ifVersion {
+		return 0, platform.Conflict(current.Version)
+	}
+	if o.Kind == kindPlacement {
+		p.writes++
+	}
+	p.rev++
+	o.Version = p.rev
+	p.objects[key] = o
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.rev, nil
+}
+
+func (p *platformLink) Delete(_ context.Context, kind, name string, ifVersion int64) error {
+	if err := p.enter(); err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+	_, err := p.put(platform.Object{Kind: kind, Name: name, Deleted: true}, ifVersion)
+	return err
+}
+
+func (p *fakePlatform) since(kinds string, since int64, deleted bool) (out []platform.Object) {
+	for key, o := range p.objects {
+		if slices.Contains(strings.Split(kinds, ","), key.kind) && o.Version > since && (deleted || !o.Deleted) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (p *platformLink) List(_ context.Context, kinds string) ([]platform.Object, int64, error) {
+	if err := p.enter(); err != nil {
+		return nil, 0, err
+	}
+	defer p.mu.Unlock()
+	return p.since(kinds, 0, false), p.rev, nil
+}
+
+func (p *platformLink) Watch(ctx context.Context, kinds string, since int64, wait time.Duration) ([]platform.Object, int64, error) {
+	timer := time.After(wait)
+	for {
+		if err := p.enter(); err != nil {
+			return nil, 0, err
+		}
+		items, rev, changed := p.since(kinds, since, true), p.rev, p.changed
+		p.mu.Unlock()
+		if len(items) > 0 {
+			return items, rev, nil
+		}
+		select {
+		case <-changed:
+		case <-timer:
+			return nil, rev, nil
+		case <-ctx.Done():
+			return nil, 0, platform.ErrUnavailable.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (p *platformLink) Instances(context.Context) ([]platform.TargetItem, error) {
+	if err := p.enter(); err != nil {
+		return nil, err
+	}
+	defer p.mu.Unlock()
+	return slices.Clone(p.items), nil
+}
+
+func (p *fakePlatform) list(items ...platform.TargetItem) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.items = items
+}
+
+// network connects the instances of a test. Links can be cut.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node // by peer address
+	cut   map[string]bool  // instance names and "a-b" pairs
+}
+
+type netPeers struct {
+	net  *network
+	from string
+}
+
+type netClient struct {
+	netPeers
+	address string
+	peerpb.Peer
+}
+
+func (n netPeers) Client(address string) peerpb.Peer { return &netClient{n, address, nil} }
+
+var errCut = errors.New("link is cut")
+
+func (c *netClient) reach(ctx context.Context) (*node, error) {
+	c.net.mu.Lock()
+	to, ok := c.net.nodes[c.address]
+	broken := !ok || c.net.cut[c.from] || c.net.cut[to.self.Name] || c.net.cut[min(c.from, to.self.Name)+"-"+max(c.from, to.self.Name)]
+	c.net.mu.Unlock()
+	if broken {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	time.Sleep(5 * time.Millisecond)
+	return to, nil
+}
+
+func (c *netClient) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	n, err := c.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return n.members.Exchange(ctx, r)
+}
+
+func (c *netClient) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	n, err := c.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return n.sync.Fetch(ctx, r)
+}
+
+func (c *netClient) Handover(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	n, err := c.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return n.control.Handover(ctx, r)
+}
+
+// fakePool holds loads; targets in busy are not idle.
+type fakePool struct {
+	mu    sync.Mutex
+	loads map[string]state.Load
+	busy  map[string]bool
+}
+
+func (p *fakePool) Loads() (out []state.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.loads {
+		out = append(out, l)
+	}
+	return out
+}
+
+func (p *fakePool) Idle(t string) bool { p.mu.Lock(); defer p.mu.Unlock(); return !p.busy[t] }
+
+func (p *fakePool) Release(t string) state.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[t]
+	delete(p.loads, t)
+	return l
+}
+
+func (p *fakePool) Adopt(l state.Load) { p.mu.Lock(); defer p.mu.Unlock(); p.loads[l.Target] = l }
+
+// node is one instance with the real controllers.
+type node struct {
+	self    Self
+	store   *state.Store
+	fresh   *Freshness
+	sync    *Sync
+	members *Membership
+	rights  *placement.Rights
+	control *placement.Controller
+	pool    *fakePool
+	cancel  context.CancelFunc
+}
+
+func (w *network) start(p *fakePlatform, name, zone, incarnation string, seeds ...string) *node {
+	link := &platformLink{p, name}
+	n := &node{self: Self{Name: name, Incarnation: incarnation, Zone: zone, PeerAddress: "peer:" + name, Seeds: seeds}, store: state.NewStore()}
+	n.pool = &fakePool{loads: map[string]state.Load{}, busy: map[string]bool{}}
+	n.fresh = NewFreshness(nil)
+	peers := netPeers{w, name}
+	n.sync = NewSync(nil, n.self, n.store, link, peers, n.fresh)
+	n.rights = placement.NewRights(name, zone, n.store)
+	n.members = NewMembership(nil, n.self, n.store, peers, n.sync, n.fresh, n.rights, n.pool, link)
+	n.control = placement.NewController(nil, placement.Config{
+		Self: name, Zone: zone, Store: n.store, Rights: n.rights, Platform: link, Pool: n.pool, Peers: peers, Apply: n.sync.Apply,
+	})
+	n.fresh.OnRefresh(n.sync.Refresh)
+	n.fresh.OnRefresh(n.members.Refresh)
+	targets := NewTargetList(nil, n.self, n.store, n.sync, link)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	w.mu.Lock()
+	w.nodes[n.self.PeerAddress] = n
+	w.mu.Unlock()
+	n.members.SetState(StateReady)
+	for _, run := range []func(context.Context) error{n.sync.Run, n.members.Run, n.control.Run, targets.Run} {
+		go func() { _ = run(ctx) }()
+	}
+	return n
+}
+
+// stop ends an instance without any farewell.
+func (w *network) stop(n *node) {
+	n.cancel()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.nodes[n.self.PeerAddress] == n {
+		delete(w.nodes, n.self.PeerAddress)
+	}
+}
+
+func (w *network) link(key string, cut bool) { w.mu.Lock(); defer w.mu.Unlock(); w.cut[key] = cut }
+
+// bubble runs a test with a network and a platform on a fake clock.
+func bubble(t *testing.T, f func(t *testing.T, w *network, p *fakePlatform)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
+		f(t, w, newFakePlatform())
+		for _, n := range w.nodes {
+			n.cancel()
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func (p *fakePlatform) apply(t *testing.T, kind, name, value string) int64 {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, err := p.put(platform.Object{Kind: kind, Name: name, Value: json.RawMessage(value)}, -1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
--- a/internal/placement/handover.go
+++ b/internal/placement/handover.go
@@ -98,7 +98,8 @@
 }
 
 // Release takes this instance out of the placement and waits until its targets
-// are handed over, or until ctx ends. Run must go on meanwhile. The last
+// are handed over, or until ctx ends. Run must go on meanwhile, and the peers
+// must know already that this instance drains, or they add it again. The last
 // instance of a zone releases the placement instead.
 func (c *Controller) Release(ctx context.Context) error {
 	c.mu.Lock()
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -163,7 +163,9 @@
 				continue
 			}
 			msg := m.ask(m.nodes[from], to)
-			_ = m.deliver(&msg, fetch) && m.deliver(&msg, fetch)
+			if m.deliver(&msg, fetch) {
+				m.deliver(&msg, fetch)
+			}
 		}
 	}
 }
