--- a/internal/target/backend.go
+++ b/internal/target/backend.go
@@ -243,7 +243,13 @@
 	}
 	// The requests in flight are half done on average.
 	wait := b.latency * time.Duration(2*ahead+1) / time.Duration(2*b.allowed())
-	return now.Add(wait + b.latency).After(wt.deadline)
+	return now.Add(wait + b.expected()).After(wt.deadline)
+}
+
+// expected is the service time to plan with. The margin above the mean keeps
+// requests that would expire at the last moment from taking a slot.
+func (b *Backend) expected() time.Duration {
+	return b.latency + b.latency/8 + b.deviation
 }
 
 // pump gives free slots to the most urgent waiters. It refuses those that can
@@ -254,7 +260,7 @@
 		switch {
 		case !wt.deadline.After(now):
 			wt.verdict <- outcome.ReasonExpired
-		case b.inFlight > 0 && now.Add(b.latency).After(wt.deadline):
+		case b.inFlight > 0 && now.Add(b.expected()).After(wt.deadline):
 			wt.verdict <- outcome.ReasonOverload
 		default:
 			b.inFlight++
--- a/internal/target/evidence.go
+++ b/internal/target/evidence.go
@@ -24,12 +24,13 @@
 	probing  bool
 	ejected  time.Time // end of the ejection
 
-	latency  time.Duration // smoothed service time of answers
-	baseline time.Duration // smoothed service time while warm
-	learned  int           // answers in baseline, up to 16
-	slow     [collapseWindow]bool
-	slowAt   int
-	answers  int
+	latency   time.Duration // smoothed service time of answers
+	deviation time.Duration // smoothed distance of service times from latency
+	baseline  time.Duration // smoothed service time while warm
+	learned   int           // answers in baseline, up to 16
+	slow      [collapseWindow]bool
+	slowAt    int
+	answers   int
 }
 
 // fire runs a transition and logs it.
@@ -76,7 +77,7 @@
 		return
 	}
 	b.failures, b.ejects, b.probing = 0, 0, false
-	b.baseline, b.learned, b.latency = 0, 0, 0
+	b.baseline, b.learned, b.latency, b.deviation = 0, 0, 0, 0
 	b.turnCold(triggerRenew, "incarnation changed", time.Now())
 }
 
@@ -140,7 +141,9 @@
 	if b.latency == 0 {
 		b.latency = took
 	} else {
-		b.latency += (took - b.latency) / 8
+		off := took - b.latency
+		b.latency += off / 8
+		b.deviation += (off.Abs() - b.deviation) / 8
 	}
 	if b.phase == state.PhaseEjected {
 		b.turnCold(triggerRevive, "answered while ejected", now)
