--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/state"
+	"github.com/baobabsill/baobabsill/internal/target"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fakeRights struct{ right Right }
+
+func (f *fakeRights) Right(string, time.Time) Right { return f.right }
+
+// fakePool calls admit after wait, as the real one does under the slot.
+type fakePool struct {
+	load     state.Load
+	wait     func()
+	sent     []target.Work
+	limit    int
+	released []string
+	passes   int
+}
+
+func (f *fakePool) Do(_ context.Context, _ state.Target, _ declare.Service, w target.Work, admit target.Admit) outcome.Result {
+	if _, _, r := admit(); r != outcome.ReasonNone {
+		return outcome.Refused(r)
+	}
+	if f.wait != nil {
+		f.wait()
+	}
+	_, limit, r := admit()
+	if r != outcome.ReasonNone {
+		return outcome.Refused(r)
+	}
+	f.limit = limit
+	f.sent = append(f.sent, w)
+	return outcome.Result{Code: outcome.Answered, Body: []byte("{}")}
+}
+
+func (f *fakePool) Load(string) (state.Load, bool) { return f.load, f.load.Phase != "" }
+func (f *fakePool) Loads() []state.Load            { return []state.Load{f.load} }
+func (f *fakePool) Adopt(l state.Load)             { f.load = l }
+func (f *fakePool) Reconcile(*state.Snapshot)      { f.passes++ }
+func (f *fakePool) Release(name string) state.Load {
+	f.released = append(f.released, name)
+	return state.Load{}
+}
+
+type rig struct {
+	store  *state.Store
+	rights *fakeRights
+	pool   *fakePool
+	d      *Dispatcher
+	req    *peerpb.ExecuteRequest
+}
+
+func newRig() *rig {
+	r := &rig{store: state.NewStore(), pool: &fakePool{},
+		rights: &fakeRights{Right{Kind: RightConfirmed, Until: time.Now().Add(time.Second)}}}
+	r.store.Update(func(n *state.Snapshot) {
+		n.Config = declare.Document{Zones: []declare.Zone{{Name: "z"}}, Services: []declare.Service{{Name: "s", Slots: 4, BearsCold: 1}}}
+		n.Targets = map[string]state.Target{"t": {Name: "t", Service: "s", Zone: "z", Address: "10.0.0.1:1", Incarnation: "i1"}}
+		n.Placements = map[string]state.Placement{"z": {Holders: map[string]string{"t": "me"}}}
+	})
+	r.d = NewDispatcher(nil, nil, "me", r.store, r.rights, r.pool)
+	r.req = &peerpb.ExecuteRequest{RequestId: "r", AttemptId: "a", Service: "s", Target: "t", Operation: "search",
+		Snapshot: "s1", Shard: "h1", DeadlineUnixMs: time.Now().Add(500 * time.Millisecond).UnixMilli(), Idempotent: true}
+	return r
+}
+
+func (r *rig) update(change func(n *state.Snapshot)) func() {
+	return func() { r.store.Update(change) }
+}
+
+func (r *rig) changes() map[string]func() {
+	return map[string]func(){
+		"zone-out": r.update(func(n *state.Snapshot) { n.Config.Zones = []declare.Zone{{Name: "z", Out: true}} }),
+		"leaving": r.update(func(n *state.Snapshot) {
+			t := n.Targets["t"]
+			t.Leaving = true
+			n.Targets = map[string]state.Target{"t": t}
+		}),
+		"leaving by configuration": r.update(func(n *state.Snapshot) { n.Config.RetiredTargets = []string{"t"} }),
+		"no-replica":               r.update(func(n *state.Snapshot) { n.Targets = map[string]state.Target{} }),
+		"no-right":                 func() { r.rights.right.Kind, r.rights.right.Holder = RightNone, "other" },
+		"no-right any more":        func() { r.rights.right.Until, r.rights.right.Holder = time.Now(), "other" },
+		"expired":                  func() { time.Sleep(500 * time.Millisecond) },
+		"malformed operation":      func() { r.req.Operation = "../health" },
+		"malformed deadline":       func() { r.req.DeadlineUnixMs = 0 },
+		"malformed attempt":        func() { r.req.AttemptId = "" },
+	}
+}
+
+// Guards against a send whose permission ended before the request came or while
+// it waited for a slot.
+func TestRefusals(t *testing.T) {
+	for name := range newRig().changes() {
+		want, _, _ := strings.Cut(name, " ")
+		for _, waiting := range []bool{false, want != "malformed"} {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig()
+				if act := r.changes()[name]; waiting {
+					r.pool.wait = act
+				} else {
+					act()
+				}
+				reply := r.d.Execute(context.Background(), r.req)
+				if (reply.Outcome == string(outcome.Invalid)) != (want == "malformed") || reply.Reason != want || len(r.pool.sent) != 0 {
+					t.Errorf("%s, waiting %v: %s %s, %d sent", name, waiting, reply.Outcome, reply.Reason, len(r.pool.sent))
+				}
+				if (reply.Holder == "other") != (want == "no-right") {
+					t.Errorf("%s: holder %q", name, reply.Holder)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a provisional holder that sends to a target which is not known
+// to be warm, or uses more than half its slots.
+func TestProvisional(t *testing.T) {
+	cases := map[string]struct {
+		reported, own, later state.Phase // later is the state when the slot is free
+		incarnation          string
+		slots, limit         int
+	}{
+		"reported warm":     {reported: state.PhaseWarm, incarnation: "i1", slots: 4, limit: 2},
+		"one slot":          {reported: state.PhaseWarm, incarnation: "i1", slots: 1, limit: 1},
+		"unknown":           {slots: 4},
+		"reported cold":     {reported: state.PhaseCold, incarnation: "i1", slots: 4},
+		"other incarnation": {reported: state.PhaseWarm, incarnation: "i0", slots: 4},
+		"own state warming": {own: state.PhaseWarming, slots: 4},
+		"turned cold":       {reported: state.PhaseWarm, later: state.PhaseCold, incarnation: "i1", slots: 4},
+	}
+	for name, c := range cases {
+		r := newRig()
+		r.rights.right.Kind = RightProvisional
+		r.store.Update(func(n *state.Snapshot) { n.Config.Services = []declare.Service{{Name: "s", Slots: c.slots}} })
+		if c.reported != "" {
+			r.update(func(n *state.Snapshot) {
+				n.Loads = map[string]state.Load{"t": {Phase: c.reported, Incarnation: c.incarnation}}
+			})()
+		}
+		r.pool.load.Phase = c.own
+		if c.later != "" {
+			r.pool.wait = func() { r.pool.load = state.Load{Phase: c.later} }
+		}
+		reply := r.d.Execute(context.Background(), r.req)
+		if c.limit == 0 && (reply.Reason != string(outcome.ReasonNoRight) || len(r.pool.sent) != 0) {
+			t.Errorf("%s: %s %s", name, reply.Outcome, reply.Reason)
+		}
+		if c.limit > 0 && (reply.Outcome != string(outcome.Answered) || r.pool.limit != c.limit || reply.Load == nil) {
+			t.Errorf("%s: %s %s, limit %d, load %v", name, reply.Outcome, reply.Reason, r.pool.limit, reply.Load)
+		}
+	}
+}
+
+// Guards against a target that moved to another holder and keeps its old state
+// here, and against releasing one that this instance serves provisionally.
+func TestRunReleasesMovedTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		r.pool.load = state.Load{Target: "t", Phase: state.PhaseWarm}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- r.d.Run(ctx) }()
+		synctest.Wait()
+		move := func() {
+			r.store.Update(func(n *state.Snapshot) {
+				n.Placements = map[string]state.Placement{"z": {Holders: map[string]string{"t": "other"}}}
+			})
+			synctest.Wait()
+		}
+		r.rights.right.Kind = RightProvisional
+		move()
+		if len(r.pool.released) != 0 {
+			t.Error("released with a provisional right")
+		}
+		r.rights.right.Kind = RightNone
+		move()
+		if len(r.pool.released) != 1 || r.pool.passes != 3 {
+			t.Errorf("released %v, %d passes", r.pool.released, r.pool.passes)
+		}
+		cancel()
+		<-done
+	})
+}
