--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,284 @@
+package api
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/status"
+)
+
+// TestMain allows the one goroutine of the process in which Hertz renews the
+// Date header.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/hertz/pkg/protocol.UpdateServerDate.func1"))
+}
+
+// fakeBackend answers all calls; calls counts those that would send something.
+type fakeBackend struct {
+	calls  atomic.Int64
+	result outcome.Result
+	search func(ctx context.Context, req gateway.SearchRequest) gateway.SearchReply
+	state  string
+}
+
+func (f *fakeBackend) Search(ctx context.Context, req gateway.SearchRequest) gateway.SearchReply {
+	f.calls.Add(1)
+	return f.search(ctx, req)
+}
+
+func (f *fakeBackend) Run(context.Context, string, string, []byte, time.Time, string) outcome.Result {
+	f.calls.Add(1)
+	return f.result
+}
+
+func (f *fakeBackend) Settle(context.Context, string) outcome.Result { return f.result }
+func (f *fakeBackend) IssueKey() string                              { return "i1.k1" }
+func (f *fakeBackend) Status() status.Document {
+	return status.Document{Instance: "i1", State: f.state, CutOff: true}
+}
+
+func answer(_ context.Context, req gateway.SearchRequest) gateway.SearchReply {
+	return gateway.SearchReply{Result: outcome.Result{Code: outcome.Answered}, Snapshot: "v1",
+		Coverage: gateway.Coverage{Answered: 1, Total: 1, Missing: []string{}}, Items: []json.RawMessage{req.Query}}
+}
+
+// serve starts a server; the test ends with a shutdown that closes everything.
+func serve(t *testing.T, f *fakeBackend, o Options) (*Server, string) {
+	t.Helper()
+	o.Listen = "127.0.0.1:0"
+	s := NewServer(nil, o, f, f, f)
+	addr, err := s.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Run(context.Background()) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := s.Shutdown(ctx); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("run: %v", err)
+		}
+	})
+	return s, addr.String()
+}
+
+// exchange sends raw bytes and reads one reply.
+func exchange(t *testing.T, addr, raw string) (int, Reply) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second)) //nolint:errcheck // a test connection
+	io.WriteString(c, raw)                         //nolint:errcheck // the reply tells
+	if strings.HasSuffix(raw, "half") {
+		c.(*net.TCPConn).CloseWrite() //nolint:errcheck // the reply tells
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var r Reply
+	body, _ := io.ReadAll(resp.Body)
+	if err := json.Unmarshal(body, &r); err != nil {
+		t.Fatalf("status %d, body %q: %v", resp.StatusCode, body, err)
+	}
+	return resp.StatusCode, r
+}
+
+func post(path, kind, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", path, kind, len(body), body)
+}
+
+// Guards against malformed requests that reach a target, that get an untyped
+// or wrong refusal, or that keep a connection or goroutine (TestMain).
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	f := &fakeBackend{search: answer}
+	_, addr := serve(t, f, Options{MaxBodyBytes: 300, ReadTimeout: 200 * time.Millisecond})
+	search := func(body string) string { return post("/v1/search", "application/json", body) }
+	execute := func(body string) string { return post("/v1/execute", "application/json", body) }
+	for name, c := range map[string]struct {
+		raw    string
+		status int
+		reason outcome.Reason
+		part   string
+	}{
+		"unknown field":   {search(`{"search":"a","query":{},"class":"partial"}`), 400, "malformed", "class"},
+		"trailing data":   {search(`{"search":"a","query":{}} {}`), 400, "malformed", "follows"},
+		"wrong type":      {search(`{"search":1,"query":{}}`), 400, "malformed", "search"},
+		"no search":       {search(`{"query":{}}`), 400, "malformed", "search is missing"},
+		"no query":        {search(`{"search":"a","query":null}`), 400, "malformed", "query is missing"},
+		"empty body":      {search(``), 400, "truncated", "truncated"},
+		"cut JSON":        {search(`{"search":"a","qu`), 400, "truncated", "truncated"},
+		"content type":    {post("/v1/search", "text/plain", `{"search":"a","query":{}}`), 415, "malformed", "application/json"},
+		"expired":         {search(`{"search":"a","query":{},"deadline_ms":0}`), 400, "expired", "deadline_ms"},
+		"negative":        {execute(`{"operation":"o","key":"k","body":{},"deadline_ms":-5}`), 400, "expired", "deadline_ms"},
+		"too late":        {search(`{"search":"a","query":{},"deadline_ms":30001}`), 400, "malformed", "30000"},
+		"fractional":      {search(`{"search":"a","query":{},"deadline_ms":1.5}`), 400, "malformed", "deadline_ms"},
+		"no key":          {execute(`{"operation":"o","body":{}}`), 400, "malformed", "key is missing"},
+		"key with slash":  {execute(`{"operation":"o","key":"a/b","body":{}}`), 400, "malformed", "key may only"},
+		"no operation":    {execute(`{"key":"k","body":{}}`), 400, "malformed", "operation is missing"},
+		"no body":         {execute(`{"operation":"o","key":"k"}`), 400, "malformed", "body is missing"},
+		"oversized":       {search(`{"search":"a","query":"` + strings.Repeat("x", 400) + `"}`), 413, "malformed", "too large"},
+		"oversized chunk": {"POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n200\r\n" + strings.Repeat("x", 512) + "\r\n0\r\n\r\n", 413, "malformed", "too large"},
+		"truncated":       {"POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: 50\r\n\r\nhalf", 400, "truncated", "truncated"},
+		"slow body":       {"POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: 50\r\n\r\n{", 408, "timeout", "in time"},
+		"method":          {"GET /v1/search HTTP/1.1\r\nHost: x\r\n\r\n", 405, "malformed", "method"},
+		"path":            {"GET /v2 HTTP/1.1\r\nHost: x\r\n\r\n", 404, "not-found", "path"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, r := exchange(t, addr, c.raw)
+			if code != c.status || r.Outcome != "invalid" || r.Reason != string(c.reason) || !strings.Contains(r.Message, c.part) {
+				t.Errorf("status %d, %+v", code, r)
+			}
+		})
+	}
+	if n := f.calls.Load(); n != 0 {
+		t.Errorf("%d requests were passed on", n)
+	}
+}
+
+// Guards against an outcome that callers see under the wrong name or status.
+func TestOutcomes(t *testing.T) {
+	f := &fakeBackend{search: answer, state: "draining"}
+	_, addr := serve(t, f, Options{})
+	for _, c := range []struct {
+		result  outcome.Result
+		status  int
+		outcome string
+	}{
+		{outcome.Result{Code: outcome.Answered, Body: []byte(`{"n":1}`)}, 200, "answered"},
+		{outcome.Refused(outcome.ReasonCutOff), 503, "refused-not-run"},
+		{outcome.Uncertain(outcome.ReasonTimeout), 504, "unknown"},
+		{outcome.Result{Code: outcome.Invalid, Reason: outcome.ReasonKeyReused}, 409, "invalid"},
+		{outcome.Result{Code: outcome.Invalid, Reason: outcome.ReasonNotFound}, 404, "invalid"},
+	} {
+		f.result = c.result
+		for _, raw := range []string{post("/v1/execute", "application/json; charset=utf-8", `{"operation":"o","key":"k","body":{}}`),
+			"GET /v1/outcomes/k HTTP/1.1\r\nHost: x\r\n\r\n"} {
+			code, r := exchange(t, addr, raw)
+			if code != c.status || r.Outcome != c.outcome || r.Reason != string(c.result.Reason) || !bytes.Equal(r.Result, c.result.Body) || r.RequestID == "" {
+				t.Errorf("%+v: status %d, %+v", c.result, code, r)
+			}
+		}
+	}
+	code, r := exchange(t, addr, post("/v1/search", "application/json", `{"search":"a","query":{"q":1}}`))
+	if code != 200 || r.Snapshot != "v1" || r.Coverage == nil || r.Coverage.Total != 1 || len(r.Items) != 1 {
+		t.Errorf("status %d, %+v", code, r)
+	}
+	if _, r := exchange(t, addr, post("/v1/keys", "application/json", "")); r.Key != "i1.k1" {
+		t.Errorf("key: %+v", r)
+	}
+	if code, _ := exchange(t, addr, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"); code != 503 {
+		t.Errorf("readyz while draining: %d", code)
+	}
+}
+
+// Guards against work that goes on for a caller that is gone.
+func TestDisconnectCancels(t *testing.T) {
+	cancelled := make(chan struct{})
+	started := make(chan struct{})
+	f := &fakeBackend{search: func(ctx context.Context, _ gateway.SearchRequest) gateway.SearchReply {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return gateway.SearchReply{}
+	}}
+	_, addr := serve(t, f, Options{})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, post("/v1/search", "application/json", `{"search":"a","query":{}}`)) //nolint:errcheck // started tells
+	<-started
+	c.Close()
+	select {
+	case <-cancelled:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the search was not cancelled")
+	}
+}
+
+// Guards against a shutdown that cuts off an answer, waits for idle callers
+// or exceeds its bound.
+func TestShutdown(t *testing.T) {
+	started := make(chan struct{}, 2)
+	f := &fakeBackend{search: func(ctx context.Context, req gateway.SearchRequest) gateway.SearchReply {
+		started <- struct{}{}
+		time.Sleep(time.Until(req.Deadline))
+		return answer(ctx, req)
+	}}
+	for _, c := range []struct{ deadlineMS, boundMS int }{{200, 2000}, {700, 100}} {
+		s, addr := serve(t, f, Options{})
+		idle, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer idle.Close()
+		whole := make(chan bool, 1)
+		go func() {
+			resp, err := http.Post("http://"+addr+"/v1/search", "application/json", strings.NewReader(fmt.Sprintf(`{"search":"a","query":{},"deadline_ms":%d}`, c.deadlineMS)))
+			if err == nil {
+				resp.Body.Close()
+			}
+			whole <- err == nil && resp.StatusCode == 200
+		}()
+		<-started
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.boundMS)*time.Millisecond)
+		start := time.Now()
+		err = s.Shutdown(ctx)
+		cancel()
+		took, fits := time.Since(start), c.deadlineMS < c.boundMS
+		if (err == nil) != fits || <-whole != fits || took > time.Duration(min(c.deadlineMS, c.boundMS)+150)*time.Millisecond {
+			t.Errorf("%+v: %v after %v", c, err, took)
+		}
+	}
+	time.Sleep(600 * time.Millisecond) // the handler that was cut off ends
+}
+
+// Guards against metrics that are not served and against Hertz's log lines
+// outside the JSON log.
+func TestMetricsAndLog(t *testing.T) {
+	scope, handler, closer := NewMetrics()
+	scope.Tagged(map[string]string{"kind": "hedge"}).Counter("sub_requests").Inc(3)
+	closer.Close() //nolint:errcheck // reports once more
+	_, addr := serve(t, &fakeBackend{}, Options{Metrics: handler})
+	resp, err := http.Get("http://" + addr + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if !strings.Contains(string(body), `baobabsill_sub_requests{kind="hedge"} 3`) {
+		t.Errorf("metrics: %s", body)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	var out bytes.Buffer
+	h := &hertzLog{logger: &log.Logger{Writer: &log.IOWriter{Writer: &out}}}
+	h.Warnf("slow %d", 7)
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil || line["message"] != "slow 7" || line["level"] != "warn" {
+		t.Errorf("log line %s: %v", out.Bytes(), err)
+	}
+}
--- a/internal/api/listener.go
+++ b/internal/api/listener.go
@@ -19,9 +19,12 @@
 // idle ones instead of waiting for their callers.
 type trackingListener struct {
 	net.Listener
-	mu     sync.Mutex
-	closed bool
-	conns  map[*trackedConn]struct{}
+	// readTimeout bounds the first request of a connection. Hertz sets its
+	// read timeout only from the second request on.
+	readTimeout time.Duration
+	mu          sync.Mutex
+	closed      bool
+	conns       map[*trackedConn]struct{}
 }
 
 // Accept returns the next connection.
@@ -30,6 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.SetReadDeadline(time.Now().Add(l.readTimeout)) //nolint:errcheck // fails only on a closed connection
 	t := &trackedConn{Conn: c, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,8 +95,12 @@
 	return n, err
 }
 
-// Close closes the connection.
+// Close closes the connection. Hertz drops a request whose body ends too early
+// without an answer, so it is refused here.
 func (c *trackedConn) Close() error {
+	if c.busy.Load() && !c.wrote.Load() {
+		c.Write(plainTruncated) //nolint:errcheck // the peer may be gone
+	}
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
@@ -128,6 +136,9 @@
 	{"Error when parsing request", "400 Bad Request", outcome.ReasonTruncated, "the request is malformed or its body is truncated"},
 }
 
+// plainTruncated is Hertz's answer to a malformed request.
+var plainTruncated = []byte("HTTP/1.1 400 Bad Request\r\n\r\nError when parsing request")
+
 func readRefusal(b []byte) []byte {
 	if !bytes.HasPrefix(b, []byte("HTTP/1.1 4")) {
 		return nil
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -120,7 +120,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.listener = &trackingListener{Listener: ln, conns: map[*trackedConn]struct{}{}}
+		s.listener = &trackingListener{Listener: ln, readTimeout: s.o.ReadTimeout, conns: map[*trackedConn]struct{}{}}
 	}
 	return s.listener.Addr(), nil
 }
