Keep metrics and Hertz's log whole

Prometheus drops a metric whose label names differ from an earlier one of the same name, and the reporter hid that: searches and operations now have metrics of their own names and a dropped metric is logged. Label values keep the hyphen of outcome names. The race detector showed that a second server changed Hertz's global logger under the first; it is now installed once.

--- a/internal/api/hertzlog.go
+++ b/internal/api/hertzlog.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/phuslu/log"
@@ -11,16 +13,29 @@
 
 // hertzLog writes Hertz's own log into the JSON log. Notice maps to info, and
 // fatal to error, because a library must not end the process.
-type hertzLog struct{ logger *log.Logger }
+type hertzLog struct{ logger atomic.Pointer[log.Logger] }
 
 var _ hlog.FullLogger = (*hertzLog)(nil)
 
+// processHertzLog is installed once, because Hertz reads its global loggers
+// without synchronization while servers run. Its destination may change.
+var processHertzLog = sync.OnceValue(func() *hertzLog {
+	h := &hertzLog{}
+	h.logger.Store(orSilent(nil))
+	hlog.SetLogger(h)
+	hlog.SetSystemLogger(h)
+	return h
+})
+
+// redirectHertzLog makes logger the destination of Hertz's log.
+func redirectHertzLog(logger *log.Logger) { processHertzLog().logger.Store(logger) }
+
 func (h *hertzLog) write(level log.Level, v []any) {
-	h.logger.WithLevel(level).Str("source", "hertz").Msg(fmt.Sprint(v...))
+	h.logger.Load().WithLevel(level).Str("source", "hertz").Msg(fmt.Sprint(v...))
 }
 
 func (h *hertzLog) writef(level log.Level, format string, v []any) {
-	h.logger.WithLevel(level).Str("source", "hertz").Msgf(format, v...)
+	h.logger.Load().WithLevel(level).Str("source", "hertz").Msgf(format, v...)
 }
 
 // SetLevel has no effect; the level is that of the JSON log.
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
@@ -12,15 +13,22 @@
 
 // NewMetrics returns a scope, the handler that serves its metrics in the
 // Prometheus format, and a closer that stops the reporting.
-func NewMetrics() (tally.Scope, http.Handler, io.Closer) {
+func NewMetrics(logger *log.Logger) (tally.Scope, http.Handler, io.Closer) {
+	logger = orSilent(logger)
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer: registry, Gatherer: registry,
-		OnRegisterError: func(error) {}, // a metric that cannot be registered is left out
+		OnRegisterError: func(err error) {
+			// For example, two metrics of one name with different labels.
+			logger.Error().Err(err).Msg("a metric is left out")
+		},
 	})
+	// The names of outcomes and targets keep their characters as label values.
+	sanitize := promreporter.DefaultSanitizerOpts
+	sanitize.ValueCharacters.Characters = []rune("_-.:/")
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "baobabsill", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
-		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+		SanitizeOptions: &sanitize, OmitCardinalityMetrics: true,
 	}, time.Second)
 	return scope, reporter.HTTPHandler(), closer
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -13,7 +13,6 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/phuslu/log"
 
@@ -101,13 +100,16 @@
 // NewServer returns a Server. It makes logger the destination of Hertz's own
 // log, which is one per process.
 func NewServer(logger *log.Logger, o Options, searcher Searcher, once Once, status StatusSource) *Server {
+	logger = orSilent(logger)
+	redirectHertzLog(logger)
+	return &Server{logger: logger, o: o.withDefaults(), searcher: searcher, once: once, status: status}
+}
+
+func orSilent(logger *log.Logger) *log.Logger {
 	if logger == nil {
-		logger = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+		return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	}
-	h := &hertzLog{logger: logger}
-	hlog.SetLogger(h)
-	hlog.SetSystemLogger(h)
-	return &Server{logger: logger, o: o.withDefaults(), searcher: searcher, once: once, status: status}
+	return logger
 }
 
 // Listen binds the address, so that callers can connect before Run. Run calls
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	g := &Gateway{
 		logger: logger, store: store, fresh: fresh, executor: executor, route: route, notSent: notSent,
 		zone: o.Zone, trace: o.Trace, policy: o.Policy.withDefaults(),
-		admission: NewAdmission(o.MaxInFlight), budget: &Budget{}, stats: &Stats{}, metrics: newMetrics(o.Scope),
+		admission: NewAdmission(o.MaxInFlight), budget: &Budget{}, stats: &Stats{}, metrics: newMetrics(o.Scope.SubScope("gateway")),
 	}
 	g.chain = Chain(g.scatter, g.validate, g.freshness, g.admit, g.deadline, g.plan)
 	return g
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -169,3 +169,36 @@
 		}
 	})
 }
+
+// staleUntilEnsured publishes a zone that is out when the gate asks.
+type staleUntilEnsured struct{ store *state.Store }
+
+func (f staleUntilEnsured) Ensure(context.Context) bool {
+	f.store.Update(func(next *state.Snapshot) { next.Config.Zones = []declare.Zone{{Name: "z1", Out: true}} })
+	return false
+}
+
+// Guards against requests that use the state from before the freshness gate,
+// and against the naive baseline being bound by the budget.
+func TestFreshStateAndNaiveRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeExecutor{do: scripted("* broken")}
+		store := fixture(1, declare.ClassPartial)
+		g := newGateway(store, f, Options{Policy: Policy{Retries: RetryNaive}})
+		g.Search(t.Context(), request(1))
+		if len(f.sent) != 2 {
+			t.Fatalf("naive retries: %d sent", len(f.sent))
+		}
+		g.fresh = staleUntilEnsured{store}
+		g.Search(t.Context(), request(2))
+		g.Single(t.Context(), "r3", declare.Operation{Services: []string{"s0"}}, nil, time.Now().Add(time.Second))
+		for _, s := range f.sent[2:] {
+			if s.Zone != "z2" {
+				t.Errorf("sent to %s after the gate", s.Zone)
+			}
+		}
+		if len(f.sent) != 4 {
+			t.Errorf("%d sent", len(f.sent))
+		}
+	})
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -24,6 +25,7 @@
 	budgetEmpty tally.Counter
 	tokens      tally.Gauge
 	inFlight    tally.Gauge
+	ends        sync.Map // endKey to *endMetrics
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -38,15 +40,55 @@
 	}
 }
 
+// endKey names the metrics of one way for a search or an operation to end.
+type endKey struct {
+	kind, name string
+	code       outcome.Code
+	reason     outcome.Reason
+}
+
+// endMetrics are looked up once for each endKey, because a tagged scope takes
+// a lock and allocates. Prometheus wants the same label names for all metrics
+// of one name, so searches and operations have different names.
+type endMetrics struct {
+	count    tally.Counter
+	latency  tally.Histogram
+	coverage tally.Histogram
+}
+
+func (m *metrics) end(k endKey) *endMetrics {
+	if v, ok := m.ends.Load(k); ok {
+		return v.(*endMetrics)
+	}
+	s := m.scope.Tagged(map[string]string{k.kind: k.name})
+	ended := s.Tagged(map[string]string{"outcome": string(k.code), "reason": string(k.reason)})
+	e := &endMetrics{}
+	if k.kind == "search" {
+		e.count, e.latency = ended.Counter("queries"), s.Histogram("latency", latencyBuckets)
+		e.coverage = s.Histogram("coverage", coverageBuckets)
+	} else {
+		e.count, e.latency = ended.Counter("operations"), s.Histogram("operation_latency", latencyBuckets)
+	}
+	v, _ := m.ends.LoadOrStore(k, e)
+	return v.(*endMetrics)
+}
+
 // search records the end of one search.
 func (m *metrics) search(name string, r SearchReply, took time.Duration) {
 	if r.Result.Code == outcome.Invalid {
 		name = "" // names that are not declared would grow the set of series
 	}
-	s := m.scope.Tagged(map[string]string{"search": name})
-	s.Tagged(map[string]string{"outcome": string(r.Result.Code), "reason": string(r.Result.Reason)}).Counter("queries").Inc(1)
-	s.Histogram("latency", latencyBuckets).RecordDuration(took)
+	e := m.end(endKey{"search", name, r.Result.Code, r.Result.Reason})
+	e.count.Inc(1)
+	e.latency.RecordDuration(took)
 	if r.Coverage.Total > 0 {
-		s.Histogram("coverage", coverageBuckets).RecordValue(float64(r.Coverage.Answered) / float64(r.Coverage.Total))
+		e.coverage.RecordValue(float64(r.Coverage.Answered) / float64(r.Coverage.Total))
 	}
 }
+
+// operation records the end of one at-most-once request.
+func (m *metrics) operation(name string, r outcome.Result, took time.Duration) {
+	e := m.end(endKey{"operation", name, r.Code, r.Reason})
+	e.count.Inc(1)
+	e.latency.RecordDuration(took)
+}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -19,9 +19,7 @@
 func (g *Gateway) Single(ctx context.Context, requestID string, op declare.Operation, body []byte, deadline time.Time) outcome.Result {
 	start := time.Now()
 	r := g.single(ctx, requestID, op, body, deadline)
-	s := g.metrics.scope.Tagged(map[string]string{"operation": op.Name})
-	s.Tagged(map[string]string{"outcome": string(r.Code), "reason": string(r.Reason)}).Counter("operations").Inc(1)
-	s.Histogram("operation_latency", latencyBuckets).RecordDuration(time.Since(start))
+	g.metrics.operation(op.Name, r, time.Since(start))
 	return r
 }
 
