Follow a target to its new holder at the entry

A holder that was not reached, or that answered no-right without a name, cost the shard its replica although the current state may already route to another instance. Replies that are queued when the context ends still count.

Disabling the route look-up fails TestMovedHolder; loading the state before the freshness gate fails TestFreshStateAndNaiveRetries for searches and operations. The draining of queued replies has no test of its own.

--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -145,6 +145,43 @@
 	})
 }
 
+// Guards against a shard that is lost, or an operation that is refused, while
+// another instance already has the target.
+func TestMovedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fixture(1, declare.ClassPartial)
+		f := &fakeExecutor{}
+		f.do = func(_ context.Context, instance string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+			store.Update(func(next *state.Snapshot) { next.Placements = map[string]state.Placement{"z1": {}} })
+			if instance == "gone" {
+				return nil, errNotSent
+			}
+			if !req.Idempotent {
+				return behave("ran", req)
+			}
+			return whole(req), nil
+		}
+		g := newGateway(store, f, Options{})
+		g.route = func(snap *state.Snapshot, _ string) string {
+			if len(snap.Placements) > 0 {
+				return "next"
+			}
+			return "gone"
+		}
+		r := g.Search(t.Context(), request(1))
+		store.Update(func(next *state.Snapshot) { next.Placements = nil })
+		one := g.Single(t.Context(), "r2", declare.Operation{Services: []string{"s0"}}, nil, time.Now().Add(time.Second))
+		if r.Coverage.Answered != 1 || one.Code != outcome.Answered || len(f.sent) != 4 {
+			t.Fatalf("%+v, %+v, %d sent", r, one, len(f.sent))
+		}
+		for i := 0; i < 4; i += 2 {
+			if f.sent[i].Target != f.sent[i+1].Target {
+				t.Errorf("sent to %s after %s", f.sent[i+1].Target, f.sent[i].Target)
+			}
+		}
+	})
+}
+
 // Guards against a quantile from too few or outdated samples, and against one
 // that is off by more than a bucket.
 func TestLatencyQuantile(t *testing.T) {
@@ -191,6 +228,7 @@
 		}
 		g.fresh = staleUntilEnsured{store}
 		g.Search(t.Context(), request(2))
+		store.Update(func(next *state.Snapshot) { next.Config.Zones = nil })
 		g.Single(t.Context(), "r3", declare.Operation{Services: []string{"s0"}}, nil, time.Now().Add(time.Second))
 		for _, s := range f.sent[2:] {
 			if s.Zone != "z2" {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -20,9 +20,9 @@
 // another replica or the end.
 func (s *scatterRun) recover(i int, failed Choice, e event) {
 	sh := &s.shards[i]
-	if e.reason == outcome.ReasonNoRight && e.holder != "" && e.holder != failed.Instance && sh.reroutes < maxHolderReroutes {
+	if holder := s.g.otherHolder(e, failed); holder != "" && sh.reroutes < maxHolderReroutes {
 		sh.reroutes++
-		failed.Instance = e.holder
+		failed.Instance = holder
 		s.reroute(i, failed, e.reason)
 		return
 	}
@@ -52,6 +52,24 @@
 	}
 }
 
+// otherHolder returns the instance to ask instead: the one that a no-right
+// reply names or, if the holder was not reached, the one to which the current
+// state routes. It returns "" if there is no other.
+func (g *Gateway) otherHolder(e event, failed Choice) string {
+	holder := ""
+	switch {
+	case e.code != outcome.NotRun:
+	case e.reason == outcome.ReasonNoRight && e.holder != "":
+		holder = e.holder
+	case e.reason == outcome.ReasonNoRight, e.reason == outcome.ReasonUnreachable && e.body == nil:
+		holder = g.route(g.store.Load(), failed.Target)
+	}
+	if holder == failed.Instance {
+		return ""
+	}
+	return holder
+}
+
 func (s *scatterRun) reroute(i int, c Choice, r outcome.Reason) {
 	s.g.metrics.reroutes.Inc(1)
 	s.logDecision(i, "reroute", c, string(r))
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -92,6 +92,21 @@
 		case <-timer.C:
 			s.sendHedges()
 		case <-s.ctx.Done():
+			s.drain()
+			return
+		}
+	}
+}
+
+// drain takes the replies that arrived together with the end of the context.
+func (s *scatterRun) drain() {
+	for {
+		select {
+		case e := <-s.events:
+			if sh := &s.shards[e.shard]; e.code == outcome.Answered && !sh.done {
+				s.win(sh, &sh.attempts[e.attempt], e.items)
+			}
+		default:
 			return
 		}
 	}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -90,8 +90,8 @@
 			return result, false
 		}
 		previous = e.reason
-		if e.reason == outcome.ReasonNoRight && e.holder != "" && len(instances) <= maxHolderReroutes && !slices.Contains(instances, e.holder) {
-			choice.Instance = e.holder
+		if holder := c.g.otherHolder(e, choice); holder != "" && len(instances) <= maxHolderReroutes && !slices.Contains(instances, holder) {
+			choice.Instance = holder
 			continue
 		}
 		if e.reason == outcome.ReasonExpired {
