Refuse fields that are given twice or differ in case

encoding/json takes the last of two equal fields and ignores case, so an order with two keys or two bodies ran under the last one. Such bodies are refused with 400 now; disabling the check fails three cases of TestMalformedRequestsAreRefused.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -130,6 +130,9 @@
 	}{
 		"unknown field":   {search(`{"search":"a","query":{},"class":"partial"}`), 400, "malformed", "class"},
 		"trailing data":   {search(`{"search":"a","query":{}} {}`), 400, "malformed", "follows"},
+		"two keys":        {execute(`{"operation":"o","key":"k","key":"l","body":{}}`), 400, "malformed", "twice"},
+		"upper case":      {execute(`{"operation":"o","Key":"k","body":{}}`), 400, "malformed", "Key"},
+		"no object":       {search(`null`), 400, "malformed", "object"},
 		"wrong type":      {search(`{"search":1,"query":{}}`), 400, "malformed", "search"},
 		"no search":       {search(`{"query":{}}`), 400, "malformed", "search is missing"},
 		"no query":        {search(`{"search":"a","query":null}`), 400, "malformed", "query is missing"},
--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -42,9 +43,39 @@
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return http.StatusBadRequest, &refusal{outcome.ReasonMalformed, "data follows the JSON document"}
 	}
+	if r := checkFields(c.Request.Body()); r != nil {
+		return http.StatusBadRequest, r
+	}
 	return 0, nil
 }
 
+// checkFields refuses fields that are given twice or whose names differ in
+// case: encoding/json accepts both, and a request with two keys or two bodies
+// would run under the last of them. body is a valid document.
+func checkFields(body []byte) *refusal {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return &refusal{outcome.ReasonMalformed, "the body is not a JSON object"}
+	}
+	seen := map[string]bool{}
+	for d.More() {
+		t, err := d.Token()
+		name, ok := t.(string)
+		var value json.RawMessage
+		if err != nil || !ok || d.Decode(&value) != nil {
+			return &refusal{outcome.ReasonMalformed, "the body is not a JSON object"}
+		}
+		if strings.ContainsFunc(name, func(r rune) bool { return r != '_' && (r < 'a' || r > 'z') }) {
+			return &refusal{outcome.ReasonMalformed, fmt.Sprintf("unknown field %q", name)}
+		}
+		if seen[name] {
+			return &refusal{outcome.ReasonMalformed, fmt.Sprintf("field %q is given twice", name)}
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
 // absoluteDeadline turns the milliseconds of a request into a point in time.
 func (s *Server) absoluteDeadline(received time.Time, ms *int64) (time.Time, *refusal) {
 	if ms == nil {
