--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -19,9 +19,7 @@
 func (g *Gateway) Single(ctx context.Context, requestID string, op declare.Operation, body []byte, deadline time.Time) outcome.Result {
 	start := time.Now()
 	r := g.single(ctx, requestID, op, body, deadline)
-	s := g.metrics.scope.Tagged(map[string]string{"operation": op.Name})
-	s.Tagged(map[string]string{"outcome": string(r.Code), "reason": string(r.Reason)}).Counter("operations").Inc(1)
-	s.Histogram("operation_latency", latencyBuckets).RecordDuration(time.Since(start))
+	g.metrics.operation(op.Name, r, time.Since(start))
 	return r
 }
 
@@ -92,8 +90,8 @@
 			return result, false
 		}
 		previous = e.reason
-		if e.reason == outcome.ReasonNoRight && e.holder != "" && len(instances) <= maxHolderReroutes && !slices.Contains(instances, e.holder) {
-			choice.Instance = e.holder
+		if holder := c.g.otherHolder(e, choice); holder != "" && len(instances) <= maxHolderReroutes && !slices.Contains(instances, holder) {
+			choice.Instance = holder
 			continue
 		}
 		if e.reason == outcome.ReasonExpired {
