--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,7 @@
 	}
 	d.platform = platform.NewClient(s.Platform.Address, s.Platform.Timeout, platform.WithSource(source))
 	d.conns = peer.NewConns(logger, source)
-	scope, metricsHandler, closer := api.NewMetrics()
+	scope, metricsHandler, closer := api.NewMetrics(logger)
 	d.metrics = closer
 
 	d.pool = target.NewPool(logger, scope, target.Options{LocalIP: source})
