Leave time for requests in flight when a shutdown cannot release the placement

Cause: during a platform outage the release of the placement used up the whole drain_timeout, so requests in flight were cut at once afterwards. Change: the release gets half of it. Ruled out: giving up the release at once, because the platform may come back. Measured: package tests pass; the outage case is left to the failure tests.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -26,7 +26,11 @@
 	ctx, cancel := context.WithTimeout(force, d.settings.Shutdown.DrainTimeout)
 	defer cancel()
 	var failed errs.Group
-	failed.Add(named("placement", d.placement.Release(ctx)))
+	// During an outage of the platform the release cannot end, and the requests
+	// in flight need the other half of the time.
+	release, cancelRelease := context.WithTimeout(ctx, d.settings.Shutdown.DrainTimeout/2)
+	defer cancelRelease()
+	failed.Add(named("placement", d.placement.Release(release)))
 	failed.Add(named("caller requests", d.api.Shutdown(ctx)))
 	failed.Add(named("at-most-once requests", d.once.Close(ctx)))
 
