Fold overlapping tests of the target package

Change: the cold start and the release are cases of TestColdLimitHoldsUntilFullLoad, which also checks the time to full load; the duplicated reply is one of the random failures of TestNotRunIsTrue.

--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -83,33 +83,9 @@
 	}
 }
 
-// Guards against a duplicated reply, left over on a connection, answering the
-// next request.
-func TestDuplicatedReply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 1)
-		b.fake.handle = func(c net.Conn, r *http.Request) bool {
-			b.fake.done(r, true)
-			attempt := r.Header.Get("X-Attempt-Id")
-			whole := raw(r, 200, attempt, "", answerBody(r, attempt))
-			_, _ = io.WriteString(c, whole+whole)
-			return true
-		}
-		for i := range 20 {
-			attempt := fmt.Sprint(i)
-			r := b.do(b.work(attempt, time.Second))
-			if r.Code == outcome.Answered && !strings.Contains(string(r.Body), `"attempt_id":"`+attempt+`"`) {
-				t.Fatalf("request %d got %s", i, r.Body)
-			}
-			if r.Code == outcome.NotRun && b.fake.ran[attempt] > 0 {
-				t.Fatalf("request %d ran and is called not run", i)
-			}
-		}
-	})
-}
-
 // Guards against a refusal that says "not run" of a request that ran, and
-// against a request that runs twice, over random failures.
+// against a request that runs twice or gets another's answer, over random
+// failures.
 func TestNotRunIsTrue(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Int64().Draw(rt, "seed")
@@ -139,6 +115,8 @@
 					return ran(raw(r, 503, "other", "X-Outcome: shed\r\n", ""), true)
 				case 6: // a status without an outcome comes back
 					return ran(raw(r, 503, attempt, "", ""), true)
+				case 9: // a duplicate is left over on the connection
+					return ran(whole+whole, true)
 				case 7: // too late
 					return b.fake.good(c, r, 300*time.Millisecond)
 				case 8: // the server closes the idle connection
@@ -173,7 +151,8 @@
 			defer b.fake.mu.Unlock()
 			for attempt, r := range results {
 				ran := b.fake.ran[attempt]
-				if ran > 1 || (r.Code == outcome.NotRun && ran > 0) || (r.Code == outcome.Answered && ran != 1) {
+				if ran > 1 || (r.Code == outcome.NotRun && ran > 0) || (r.Code == outcome.Answered && ran != 1) ||
+					(r.Code == outcome.Answered && !strings.Contains(string(r.Body), `"attempt_id":"`+attempt+`"`)) {
 					t.Errorf("seed %d: attempt %s ran %d times, outcome %s %s", seed, attempt, ran, r.Code, r.Reason)
 				}
 			}
--- a/internal/target/limiter_test.go
+++ b/internal/target/limiter_test.go
@@ -14,23 +14,6 @@
 	"github.com/baobabsill/baobabsill/internal/state"
 )
 
-// Guards against callers that together exceed what a cold target bears, against
-// steps without enough good answers, and against a ramp that never ends.
-func TestColdLimitHoldsUntilFullLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 4)
-		start := time.Now()
-		b.callers(12, 1000)
-		if b.fake.excess != "" {
-			t.Errorf("above the limit: %s", b.fake.excess)
-		}
-		took := time.Since(start)
-		if b.phase() != state.PhaseWarm || b.limit() != 4 || took < 2*RampInterval || took > 5*time.Second {
-			t.Errorf("phase %s limit %d after %v", b.phase(), b.limit(), took)
-		}
-	})
-}
-
 // Guards against a ramp from too few answers, or from answers that did not use
 // the current limit in full.
 func TestNoRampWithoutEvidence(t *testing.T) {
@@ -64,22 +47,25 @@
 	})
 }
 
-// Guards against a target that turned cold without warning and keeps its load.
-func TestHiddenCold(t *testing.T) {
-	cases := map[string]func(b *bench){
-		"incarnation": func(b *bench) { b.fake.incarnation = "i2" },
-		"shed": func(b *bench) {
+// Guards against a target that turned cold without warning, or was with another
+// holder, and keeps its load; against callers that together exceed what a cold
+// target bears; and against a ramp that is too fast or never ends.
+func TestColdLimitHoldsUntilFullLoad(t *testing.T) {
+	cases := map[string]func(t *testing.T, b *bench){
+		"released":    func(t *testing.T, b *bench) { b.pool.Release("t") },
+		"incarnation": func(t *testing.T, b *bench) { b.fake.incarnation = "i2" },
+		"shed": func(t *testing.T, b *bench) {
 			b.fake.handle = func(c net.Conn, r *http.Request) bool { return b.fake.refuse(c, r, 503, "shed") }
 			b.each(1)
 			if b.phase() != state.PhaseWarm || b.limit() != 2 {
-				panic("one shed answer must halve the limit")
+				t.Errorf("%s with limit %d after one shed answer", b.phase(), b.limit())
 			}
 		},
-		"refused": func(b *bench) {
+		"refused": func(t *testing.T, b *bench) {
 			b.close()
 			b.fake.down = true
 		},
-		"slow": func(b *bench) {
+		"slow": func(t *testing.T, b *bench) {
 			b.takes(60 * time.Millisecond)
 			b.each(collapseCount - 1)
 		},
@@ -88,8 +74,10 @@
 		bubble(t, name, func(t *testing.T) {
 			b := newBench(t, 4).warm()
 			b.each(20)
-			turn(b)
-			b.each(1)
+			turn(t, b)
+			if name != "released" { // the others show only with an answer
+				b.each(1)
+			}
 			if b.phase() != state.PhaseCold || b.limit() != 1 {
 				t.Errorf("%s with limit %d", b.phase(), b.limit())
 			}
@@ -97,9 +85,11 @@
 			b.fake.down, b.fake.answers, b.fake.excess = false, 0, ""
 			b.fake.mu.Unlock()
 			b.takes(5 * time.Millisecond)
-			b.callers(8, 1000)
-			if b.fake.excess != "" || b.phase() != state.PhaseWarm {
-				t.Errorf("%s on the way to %s", b.fake.excess, b.phase())
+			start := time.Now()
+			b.callers(12, 1000)
+			took := time.Since(start)
+			if b.fake.excess != "" || b.phase() != state.PhaseWarm || b.limit() != 4 || took < 2*RampInterval || took > 5*time.Second {
+				t.Errorf("%s on the way to %s, limit %d after %v", b.fake.excess, b.phase(), b.limit(), took)
 			}
 		})
 	}
@@ -163,23 +153,6 @@
 	})
 }
 
-// Guards against a holder that goes on with an old state after the target was
-// with another holder.
-func TestReleaseStartsCold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 4).warm()
-		for _, want := range []state.Phase{state.PhaseWarm, state.PhaseCold} {
-			b.each(1)
-			if l := b.pool.Release("t"); l.Phase != want || (want == state.PhaseCold) != (l.Limit == 1) {
-				t.Errorf("released as %+v, want %s", l, want)
-			}
-		}
-		if b.warm().each(1); b.phase() != state.PhaseWarm {
-			t.Errorf("%s after a handover", b.phase())
-		}
-	})
-}
-
 // Guards against waiting work that is sent after its admission ended: target
 // leaving, zone out or right ended. The blocker holds the only slot.
 func TestWaitingWorkIsRefused(t *testing.T) {
