Leave the release of moved targets to the placement controller

Cause: the dispatcher released a target as soon as the placement named another holder, so the controller later handed over an empty state and each new holder started its targets cold. Ruled out: an incarnation mismatch at the new holder; the load in the message was empty. Change: the dispatcher leaves targets of Previous alone. The test fails without the change.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -210,10 +210,16 @@
 		if !ok {
 			continue
 		}
-		holder := snap.Placements[t.Zone].Holders[t.Name]
+		p := snap.Placements[t.Zone]
+		holder := p.Holders[t.Name]
 		if holder == "" || holder == d.self || d.rights.Right(t.Name, now).Kind != RightNone {
 			continue
 		}
+		if p.Previous[t.Name] == d.self {
+			// The placement controller releases it when it is idle and hands its
+			// state over, which a release here would lose.
+			continue
+		}
 		d.pool.Release(t.Name)
 		d.log.Info().Str("target", t.Name).Str("holder", holder).Msg("target moved to another holder")
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -167,7 +167,8 @@
 }
 
 // Guards against a target that moved to another holder and keeps its old state
-// here, and against releasing one that this instance serves provisionally.
+// here, and against releasing one that this instance serves provisionally or
+// whose state the placement controller still has to hand over.
 func TestRunReleasesMovedTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
@@ -176,20 +177,24 @@
 		done := make(chan error)
 		go func() { done <- r.d.Run(ctx) }()
 		synctest.Wait()
-		move := func() {
+		move := func(previous map[string]string) {
 			r.store.Update(func(n *state.Snapshot) {
-				n.Placements = map[string]state.Placement{"z": {Holders: map[string]string{"t": "other"}}}
+				n.Placements = map[string]state.Placement{"z": {Holders: map[string]string{"t": "other"}, Previous: previous}}
 			})
 			synctest.Wait()
 		}
 		r.rights.right.Kind = RightProvisional
-		move()
+		move(nil)
 		if len(r.pool.released) != 0 {
 			t.Error("released with a provisional right")
 		}
 		r.rights.right.Kind = RightNone
-		move()
-		if len(r.pool.released) != 1 || r.pool.passes != 3 {
+		move(map[string]string{"t": r.d.self})
+		if len(r.pool.released) != 0 {
+			t.Error("released before the handover")
+		}
+		move(nil)
+		if len(r.pool.released) != 1 || r.pool.passes != 4 {
 			t.Errorf("released %v, %d passes", r.pool.released, r.pool.passes)
 		}
 		cancel()
