Keep an isolated instance from writing placements

Cause: an instance that reached the platform but no peer removed all the others, and the members put each other back in turn. Change: who reaches no member writes nothing; a minority waits 6 s before it removes others. CutOff no longer depends on requests.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -64,12 +64,9 @@
 	return time.Since(f.confirmed)
 }
 
-// CutOff reports whether neither the platform nor a peer confirmed the state.
-func (f *Freshness) CutOff() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cutOff
-}
+// CutOff reports whether neither the platform nor a peer confirms the state,
+// also while no request asks.
+func (f *Freshness) CutOff() bool { return f.Age() > freshFor }
 
 // Ensure returns at once when the state is fresh. Otherwise it waits for one
 // refresh that all requests share, and reports whether the instance is cut
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -116,7 +116,7 @@
 		return
 	}
 	members, reason := c.plan.members(p, now)
-	if len(members) == 0 {
+	if len(members) == 0 || reason == "" && !slices.Contains(members, c.Self) {
 		return
 	}
 	n := next(p, c.Zone, members, zoneTargets(snap, c.Zone))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -12,9 +12,9 @@
 	// removeAfter and addAfter keep a flapping link from moving targets.
 	removeAfter = 2 * time.Second
 	addAfter    = 2 * time.Second
-	// minorityDelay is removeAfter for an instance that reaches less than half
-	// of the members. The others can remove it first, so that an instance
-	// whose own link fails does not remove everybody else.
+	// minorityDelay is removeAfter for instances that are fewer than the
+	// members they would remove. Those can remove them first, so that an
+	// instance whose own link fails does not remove everybody else.
 	minorityDelay = 6 * time.Second
 	// rankDelay is how long each further instance in order of names waits
 	// before it reconciles.
@@ -79,14 +79,19 @@
 	if len(p.Members) == 0 || p.Released {
 		return slices.Sorted(maps.Keys(pl.up)), "no placement"
 	}
-	reached := 0
+	missing := 0
 	for _, m := range p.Members {
-		if _, down := pl.down[m]; !down {
-			reached++
+		if _, down := pl.down[m]; down {
+			missing++
 		}
 	}
+	if missing == len(p.Members) {
+		// Who reaches no member may be cut off itself, and could not start
+		// anyway, since nobody can say that the members' leases have ended.
+		return p.Members, ""
+	}
 	delay := removeAfter
-	if 2*reached < len(p.Members) {
+	if len(pl.up) < missing {
 		delay = minorityDelay
 	}
 	for _, m := range p.Members {
@@ -98,10 +103,7 @@
 	}
 	for name, since := range pl.up {
 		if !slices.Contains(p.Members, name) && now.Sub(since) >= addAfter {
-			// An instance that reaches no member waits for them like a minority.
-			if reached > 0 || now.Sub(since) >= minorityDelay {
-				members, reason = append(members, name), "instance joined: "+name
-			}
+			members, reason = append(members, name), "instance joined: "+name
 		}
 	}
 	slices.Sort(members)
--- /dev/null
+++ b/internal/placement/rights_test.go
@@ -0,0 +1,122 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/state"
+)
+
+// Guards against a holder that wakes from a pause, or loses one member's
+// grant, and goes on with its old lease.
+func TestPausedHolderIsNotConfirmed(t *testing.T) {
+	store := state.NewStore()
+	p := state.Placement{Zone: "z", Epoch: 5, Members: []string{"a", "b", "c"}, Holders: map[string]string{"t": "a"}}
+	store.Update(func(s *state.Snapshot) {
+		s.Targets = map[string]state.Target{"t": {Name: "t", Zone: "z", Incarnation: "i"}}
+		s.Placements = map[string]state.Placement{"z": p}
+	})
+	r, now := NewRights("a", "z", store), time.Unix(1000, 0)
+	expect := func(what string, at time.Time, want Kind) {
+		t.Helper()
+		if got := r.Right("t", at); got.Kind != want {
+			t.Errorf("%s: %v, want %v", what, got.Kind, want)
+		}
+	}
+	r.ObserveAdopted(5, now)
+	r.ObserveAnswer("b", 5, true, now)
+	expect("one grant of two", now, None)
+	r.ObserveAnswer("c", 4, true, now)
+	expect("a grant of another epoch", now, None)
+	r.ObserveAnswer("c", 5, true, now)
+	expect("all grants", now, Confirmed)
+	expect("after a pause", now.Add(LeaseTerm), None)
+	r.ObserveLoads("a", []state.Load{{Target: "t", Phase: state.PhaseWarm, Incarnation: "i"}}, now)
+	expect("after a pause, warm", now.Add(3*time.Second), Provisional)
+	r.ObservePlatform(5, now.Add(3*time.Second))
+	expect("after a read", now.Add(3*time.Second), Confirmed)
+	expect("after another pause", now.Add(3*time.Second+LeaseTerm), Provisional)
+	r.ObservePlatform(6, now.Add(5*time.Second))
+	expect("after a read of a later epoch", now.Add(5*time.Second), Provisional)
+}
+
+// Guards against a restarted member that grants at an epoch that it had left
+// before, which would confirm the previous holder again.
+func TestRestartedMemberGrantsAfterRead(t *testing.T) {
+	store := state.NewStore()
+	store.Update(func(s *state.Snapshot) {
+		s.Placements = map[string]state.Placement{"z": {Zone: "z", Epoch: 5, Members: []string{"a", "b"}}}
+	})
+	r, now := NewRights("a", "z", store), time.Unix(1000, 0)
+	if r.Grant("b", 5, now) {
+		t.Error("granted without a read")
+	}
+	r.ObservePlatform(6, now)
+	if r.Grant("b", 5, now) {
+		t.Error("granted below the epoch that was read")
+	}
+	r = NewRights("a", "z", store)
+	r.ObservePlatform(5, now)
+	if !r.Grant("b", 5, now) || r.Grant("b", 4, now) || r.Grant("c", 5, now) {
+		t.Error("grants must go to members at the local epoch, and only to them")
+	}
+	store.Update(func(s *state.Snapshot) {
+		s.Placements = map[string]state.Placement{"z": {Zone: "z", Epoch: 6, Members: []string{"a", "b"}}}
+	})
+	if r.Grant("b", 5, now) {
+		t.Error("granted at an epoch that this instance left")
+	}
+}
+
+// Guards against a new holder that counts its wait from its own earlier epoch.
+func TestNewHolderWaitsFromTheMove(t *testing.T) {
+	store := state.NewStore()
+	store.Update(func(s *state.Snapshot) {
+		s.Targets = map[string]state.Target{"t": {Name: "t", Zone: "z"}}
+		s.Placements = map[string]state.Placement{"z": {
+			Zone: "z", Epoch: 5, Members: []string{"a", "b"}, Holders: map[string]string{"t": "a"},
+			Previous: map[string]string{"t": "b"}, PreviousMembers: []string{"b"},
+		}}
+	})
+	r, now := NewRights("a", "z", store), time.Unix(1000, 0)
+	at := func(after time.Duration) Kind {
+		r.ObservePlatform(5, now.Add(after))
+		return r.Right("t", now.Add(after)).Kind
+	}
+	r.ObserveAdopted(4, now.Add(-time.Minute))
+	if at(0) != None {
+		t.Error("started before the move was seen")
+	}
+	r.ObserveAdopted(5, now)
+	if at(LeaseTerm) != None || at(LeaseTerm+MaxClockError) != Confirmed {
+		t.Error("the wait is a term and the clock error from the move")
+	}
+}
+
+// Guards against an instance whose own link failed and that removes the
+// others, or that takes the placement although it reaches no member.
+func TestMinorityWaits(t *testing.T) {
+	p := state.Placement{Zone: "z", Epoch: 5, Members: []string{"a", "b", "c"}}
+	snap := &state.Snapshot{Instances: map[string]state.Instance{}}
+	decide := func(self string, after time.Duration) int {
+		pl, start := newPlanner(self, "z"), time.Unix(1000, 0)
+		for at := time.Duration(0); at <= after; at += reconcileEvery {
+			pl.observe(snap, p, true, start.Add(at))
+		}
+		members, _ := pl.members(p, start.Add(after))
+		return len(members)
+	}
+	if got := decide("a", 5*time.Second); got != 3 {
+		t.Errorf("a minority left %d members after 5 s", got)
+	}
+	if got := decide("a", 7*time.Second); got != 1 {
+		t.Errorf("the last live member has %d members after 7 s", got)
+	}
+	if got := decide("d", time.Minute); got != 3 {
+		t.Errorf("an instance that reaches no member decided on %d members", got)
+	}
+	snap.Instances["b"] = state.Instance{Name: "b", Zone: "z", Liveness: state.Alive}
+	if got := decide("a", 2*time.Second); got != 2 {
+		t.Errorf("the majority has %d members after 2 s", got)
+	}
+}
