Bound the age of the last confirmation in heartbeats

Cause: before the first confirmation the age overflowed on the receiving side and confirmed the state far in the future. Change: ages above an hour are not sent and not believed.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -209,3 +209,25 @@
 		ensure("healed", false, 0)
 	})
 }
+
+// Guards against instances that confirm each other without the platform.
+func TestPeersAloneConfirmNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		p.set("", true)
+		a, b := w.start(p, "a", "z", "1", "peer:b"), w.start(p, "b", "z", "1", "peer:a")
+		time.Sleep(3 * time.Second)
+		if !a.fresh.CutOff() || !b.fresh.CutOff() {
+			t.Error("fresh before the platform ever answered")
+		}
+		p.set("", false)
+		time.Sleep(3 * time.Second)
+		if a.fresh.CutOff() || b.fresh.CutOff() {
+			t.Error("cut off with the platform up")
+		}
+		p.set("", true)
+		time.Sleep(4 * time.Second)
+		if !a.fresh.CutOff() || !b.fresh.CutOff() {
+			t.Error("fresh 4 s after the platform's last answer")
+		}
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -24,6 +24,8 @@
 	// stallGap is the pause of the process after which peers get another
 	// suspectAfter to answer.
 	stallGap = 2 * heartbeatEvery
+	// maxAge bounds the age of the last confirmation in heartbeats.
+	maxAge = time.Hour
 )
 
 // Leases is told what heartbeats carry and decides about grants. The epochs
@@ -194,8 +196,8 @@
 		m.sync.fetch(ctx, address)
 		behind = m.sync.Observe(address, reply.Versions)
 	}
-	if !behind {
-		m.freshness.Confirm(sentAt.Add(-time.Duration(reply.FreshAgeMs) * time.Millisecond))
+	if age := reply.FreshAgeMs; !behind && age >= 0 && age <= maxAge.Milliseconds() {
+		m.freshness.Confirm(sentAt.Add(-time.Duration(age) * time.Millisecond))
 	}
 }
 
@@ -223,8 +225,11 @@
 }
 
 // freshAge returns the age of the last confirmation in milliseconds, rounded
-// up, so that passing it around never makes it younger.
-func (m *Membership) freshAge() int64 { return m.freshness.Age().Milliseconds() + 1 }
+// up, so that passing it around never makes it younger. The age before the
+// first confirmation is bounded, since adding to it would overflow.
+func (m *Membership) freshAge() int64 {
+	return min(m.freshness.Age(), maxAge).Milliseconds() + 1
+}
 
 // learn notes what an instance said of itself, as an answer to a heartbeat or
 // in a request. It returns false for an incarnation that is not the running one.
