Register the refreshes of the freshness gate and split joining from readiness

Cause: the daemon never registered who confirms a stale state, so the gate had nobody to ask. An instance joined the placement before it was ready and its peers saw it as suspect. Change: both refreshes are registered; an instance joins when a configuration is in force and reports ready to the balancer when each target has a holder.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -52,6 +53,8 @@
 	peers      *peer.Server
 	api        *api.Server
 	metrics    io.Closer
+	// ready is set once the balancer may send callers here.
+	ready atomic.Bool
 }
 
 // New wires an instance. It opens no socket.
@@ -78,9 +81,11 @@
 	d.sync = control.NewSync(logger, d.self, d.store, d.platform, d.conns, d.freshness)
 	d.targets = control.NewTargetList(logger, d.self, d.store, d.sync, d.platform)
 	d.membership = control.NewMembership(logger, d.self, d.store, d.conns, d.sync, d.freshness, d.rights, d.pool, d.platform)
+	d.freshness.OnRefresh(d.sync.Refresh)
+	d.freshness.OnRefresh(d.membership.Refresh)
 	d.placement = placement.NewController(logger, placement.Config{
 		Self: d.self.Name, Zone: d.self.Zone, Store: d.store, Rights: d.rights,
-		Platform: d.platform, Pool: d.pool, Peers: d.conns, Apply: d.sync.Apply, Ready: d.hasConfig,
+		Platform: d.platform, Pool: d.pool, Peers: d.conns, Apply: d.sync.Apply, Ready: d.isMember,
 	})
 	d.dispatcher = dispatch.NewDispatcher(logger, scope, d.self.Name, d.store, dispatchRights{d.rights}, d.pool)
 	d.gateway = gateway.NewGateway(logger, d.store, d.freshness, d, d.route, peer.NotSent, gateway.Options{
@@ -145,42 +150,50 @@
 	return d.metrics.Close()
 }
 
-// hasConfig reports whether a configuration is in force.
-func (d *Daemon) hasConfig() bool { return d.store.Load().ConfigVersion > 0 }
+// isMember reports whether the instance takes part in the placement.
+func (d *Daemon) isMember() bool { return d.membership.State() == control.StateReady }
 
 // placementWait is how long a starting instance waits for the placements of
 // all zones. During an outage of the platform it may never see them.
 const placementWait = 3 * time.Second
 
-// becomeReady announces the instance once it knows what to serve.
+// becomeReady joins the placement as soon as a configuration is in force, and
+// reports ready to the balancer once all targets have a holder.
 func (d *Daemon) becomeReady(ctx context.Context) error {
+	if !d.waitFor(ctx, func(snap *state.Snapshot) bool { return snap.ConfigVersion > 0 }) {
+		return nil
+	}
+	d.membership.SetState(control.StateReady)
+	joined := time.Now()
+	placed := func(snap *state.Snapshot) bool {
+		return len(snap.Targets) > 0 && (isPlaced(snap) || time.Since(joined) > placementWait)
+	}
+	if d.waitFor(ctx, placed) {
+		d.ready.Store(true)
+		d.logger.Info().Str("event", "ready").Int64("config_version", d.store.Load().ConfigVersion).Msg("instance is ready")
+	}
+	return nil
+}
+
+// waitFor returns true when the condition holds and false when ctx ends first.
+func (d *Daemon) waitFor(ctx context.Context, condition func(*state.Snapshot) bool) bool {
 	const checkInterval = 50 * time.Millisecond
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	var configured time.Time
-	for {
-		snap := d.store.Load()
-		known := snap.ConfigVersion > 0 && len(snap.Targets) > 0
-		if known && configured.IsZero() {
-			configured = time.Now()
-		}
-		if known && (isPlaced(snap) || time.Since(configured) > placementWait) {
-			d.membership.SetState(control.StateReady)
-			d.logger.Info().Str("event", "ready").Int64("config_version", snap.ConfigVersion).Msg("instance is ready")
-			return nil
-		}
+	for !condition(d.store.Load()) {
 		select {
 		case <-ctx.Done():
-			return nil
+			return false
 		case <-ticker.C:
 		}
 	}
+	return true
 }
 
-// isPlaced reports whether each zone with targets has a placement.
+// isPlaced reports whether each target has a holder.
 func isPlaced(snap *state.Snapshot) bool {
 	for _, t := range snap.Targets {
-		if _, ok := snap.Placements[t.Zone]; !ok {
+		if snap.Placements[t.Zone].Holders[t.Name] == "" {
 			return false
 		}
 	}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/baobabsill/baobabsill/internal/control"
 	"github.com/baobabsill/baobabsill/internal/state"
 	"github.com/baobabsill/baobabsill/internal/status"
 )
@@ -14,12 +15,21 @@
 	snap := d.store.Load()
 	return status.Document{
 		Instance: d.self.Name, Incarnation: d.self.Incarnation, Zone: d.self.Zone,
-		State: d.membership.State(), CutOff: d.freshness.CutOff(),
+		State: d.servingState(), CutOff: d.freshness.CutOff(),
 		PlatformReachable: d.platform.Reachable(), ConfigVersion: snap.ConfigVersion,
 		Instances: statusInstances(snap), Zones: statusZones(snap), Targets: d.statusTargets(snap),
 	}
 }
 
+// servingState is the state that the balancer sees: a member of the placement
+// is still starting until all targets have a holder.
+func (d *Daemon) servingState() string {
+	if s := d.membership.State(); s != control.StateReady || d.ready.Load() {
+		return s
+	}
+	return control.StateStarting
+}
+
 func statusInstances(snap *state.Snapshot) []status.Instance {
 	all := []status.Instance{}
 	for _, i := range snap.Instances {
