Wait for a holder instead of refusing while all targets move

Cause: while a placement moves, the old holder and the new one name each other until the handover arrives; the entry gave up after three replies. Ruled out: a lost handover, since all arrived. Change: a sub-request that no replica has a holder for is tried again for up to 3 s, or 175 ms for partial searches, and an operation likewise; no target saw it, so it is not extra load.

--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -182,6 +182,46 @@
 	})
 }
 
+// Guards against a refusal while all targets move to new holders, and against
+// a partial search that waits for them for long.
+func TestWaitsWhileHoldersMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, tc := range []struct {
+			class    declare.Class
+			moving   time.Duration
+			answered bool
+		}{
+			{declare.ClassComplete, 700 * time.Millisecond, true}, // the deadline is 1 s
+			{declare.ClassPartial, 100 * time.Millisecond, true},
+			{declare.ClassPartial, time.Second, false},
+		} {
+			start := time.Now()
+			f := &fakeExecutor{}
+			f.do = func(_ context.Context, _ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+				if time.Since(start) < tc.moving {
+					return &peerpb.ExecuteReply{AttemptId: req.AttemptId, Outcome: string(outcome.NotRun), Reason: string(outcome.ReasonNoRight)}, nil
+				}
+				if !req.Idempotent {
+					return behave("ran", req)
+				}
+				return whole(req), nil
+			}
+			g := newGateway(fixture(1, tc.class), f, Options{})
+			r := g.Search(t.Context(), request(1))
+			if (r.Result.Code == outcome.Answered) != tc.answered {
+				t.Errorf("%s, moving for %s: %+v", tc.class, tc.moving, r.Result)
+			}
+			if !tc.answered && time.Since(start) > 200*time.Millisecond {
+				t.Errorf("partial search waited %s", time.Since(start))
+			}
+			one := g.Single(t.Context(), "r2", declare.Operation{Services: []string{"s0"}}, nil, time.Now().Add(3*time.Second))
+			if one.Code != outcome.Answered {
+				t.Errorf("operation: %+v", one)
+			}
+		}
+	})
+}
+
 // Guards against a quantile from too few or outdated samples, and against one
 // that is off by more than a bucket.
 func TestLatencyQuantile(t *testing.T) {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/baobabsill/baobabsill/declare"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
@@ -30,6 +31,11 @@
 		return
 	}
 	c, ok := s.nextReplica(sh)
+	if !ok && s.ctx.Err() == nil && e.isMoving() && sh.waits < maxMoveWaits(s.q.Search.Class) {
+		sh.waits++
+		sh.retryAt = time.Now().Add(moveWait(sh.waits))
+		return
+	}
 	switch {
 	case !ok, s.ctx.Err() != nil, e.reason == outcome.ReasonExpired:
 		s.fail(sh, e.reason)
@@ -52,6 +58,52 @@
 	}
 }
 
+const (
+	// wholeMoveWaits add up to 3 s, which is longer than a lease and its
+	// take-over.
+	wholeMoveWaits = 7
+	// partialMoveWaits add up to 175 ms: a caller that takes a partial answer
+	// does not wait for a target that has no holder for long.
+	partialMoveWaits = 3
+)
+
+// maxMoveWaits bounds how often a sub-request waits while no replica has a
+// holder that may send.
+func maxMoveWaits(class declare.Class) int {
+	if class == declare.ClassPartial {
+		return partialMoveWaits
+	}
+	return wholeMoveWaits
+}
+
+func moveWait(n int) time.Duration { return 25 * time.Millisecond << (n - 1) }
+
+// isMoving reports whether the attempt failed only because its target has no
+// holder that may send at the moment.
+func (e event) isMoving() bool {
+	return e.code == outcome.NotRun && e.reason == outcome.ReasonNoRight
+}
+
+// sendAfterMoves tries the replicas once more when their targets may have a
+// holder again. No target saw the earlier attempts, so this is not extra load.
+func (s *scatterRun) sendAfterMoves() {
+	now := time.Now()
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.done || sh.retryAt.IsZero() || sh.retryAt.After(now) {
+			continue
+		}
+		sh.retryAt, sh.next, sh.reroutes = time.Time{}, 0, 0
+		c, ok := s.nextReplica(sh)
+		if !ok {
+			s.fail(sh, sh.reason)
+			continue
+		}
+		c.Instance = s.g.route(s.g.store.Load(), c.Target)
+		s.reroute(i, c, sh.reason)
+	}
+}
+
 // otherHolder returns the instance to ask instead: the one that a no-right
 // reply names or, if the holder was not reached, the one to which the current
 // state routes. It returns "" if there is no other.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -25,6 +25,10 @@
 	retries  int
 	reroutes int
 	hedged   bool
+	// waits counts the times that no replica had a holder.
+	waits int
+	// retryAt is when the replicas are tried once more; zero means never.
+	retryAt time.Time
 	// hedgeWaits counts hedges that were put off.
 	hedgeWaits int
 	// hedgeAt is when the next hedge may be sent; zero means never.
@@ -85,12 +89,13 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for s.open > 0 && !s.q.gone {
-		timer.Reset(s.untilHedge())
+		timer.Reset(s.untilDue())
 		select {
 		case e := <-s.events:
 			s.handle(e)
 		case <-timer.C:
 			s.sendHedges()
+			s.sendAfterMoves()
 		case <-s.ctx.Done():
 			s.drain()
 			return
@@ -209,13 +214,18 @@
 	}
 }
 
-// untilHedge returns the time to the earliest hedge.
-func (s *scatterRun) untilHedge() time.Duration {
+// untilDue returns the time to the earliest hedge or repeated try.
+func (s *scatterRun) untilDue() time.Duration {
 	var at time.Time
 	for i := range s.shards {
 		sh := &s.shards[i]
-		if !sh.done && !sh.hedgeAt.IsZero() && (at.IsZero() || sh.hedgeAt.Before(at)) {
-			at = sh.hedgeAt
+		if sh.done {
+			continue
+		}
+		for _, due := range [...]time.Time{sh.hedgeAt, sh.retryAt} {
+			if !due.IsZero() && (at.IsZero() || due.Before(at)) {
+				at = due
+			}
 		}
 	}
 	if at.IsZero() {
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -33,18 +33,35 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c := &singleChain{g: g, requestID: requestID, op: op, body: body, deadline: deadline}
-	snap := g.store.Load()
-	last := outcome.Refused(outcome.ReasonNoReplica)
-	for _, service := range op.Services {
-		for _, choice := range g.orderService(snap, service, requestID) {
+	for waits := 1; ; waits++ {
+		r, more := c.tryAll(ctx)
+		if !more || !c.moving || waits > wholeMoveWaits {
+			return r
+		}
+		select {
+		case <-time.After(moveWait(waits)):
+		case <-ctx.Done():
+			return r
+		}
+	}
+}
+
+// tryAll tries each target once. more is true if all of them definitely did
+// not run the request.
+func (c *singleChain) tryAll(ctx context.Context) (last outcome.Result, more bool) {
+	c.moving = false
+	last = outcome.Refused(outcome.ReasonNoReplica)
+	snap := c.g.store.Load()
+	for _, service := range c.op.Services {
+		for _, choice := range c.g.orderService(snap, service, c.requestID) {
 			r, more := c.try(ctx, service, choice, last.Reason)
 			if !more {
-				return r
+				return r, false
 			}
 			last = r
 		}
 	}
-	return last
+	return last, true
 }
 
 // orderService returns the replicas of a service, the preferred one first.
@@ -67,6 +84,8 @@
 	deadline  time.Time
 	attempts  int
 	retries   int
+	// moving is set if a target had no holder that may send.
+	moving bool
 }
 
 // try sends the request to one target, following the holder's name in
@@ -94,6 +113,7 @@
 			choice.Instance = holder
 			continue
 		}
+		c.moving = c.moving || e.isMoving()
 		if e.reason == outcome.ReasonExpired {
 			return result, false
 		}
