Add the benchmark's frame with tail, extra and config

Cause: changes of the request policies were judged by the demo's figures, which have no baseline.

The scenarios tail, extra and config run. The link stand-in can lose chunks, which come again later and hold up those behind them.

--- /dev/null
+++ b/standin/bench/extra.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/baobabsill/baobabsill/standin/harness"
+)
+
+// Metrics reads the Prometheus page of an instance: values by series.
+func Metrics(ctx context.Context, client *http.Client, i harness.Instance) (map[string]float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Caller+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return parseMetrics(resp.Body)
+}
+
+func parseMetrics(r io.Reader) (map[string]float64, error) {
+	values := map[string]float64{}
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		line := s.Text()
+		at := strings.LastIndexByte(line, ' ')
+		if at < 0 || line[0] == '#' {
+			continue
+		}
+		if v, err := strconv.ParseFloat(line[at+1:], 64); err == nil {
+			values[line[:at]] = v
+		}
+	}
+	return values, s.Err()
+}
+
+// Counters sums gateway counters without labels other than kind over all
+// entries: sub-requests by kind, and other counters by name.
+func Counters(ctx context.Context, instances []harness.Instance) (map[string]float64, error) {
+	const prefix = "baobabsill_gateway_"
+	client := &http.Client{Timeout: 2 * time.Second}
+	defer client.CloseIdleConnections()
+	sum := map[string]float64{}
+	for _, i := range instances {
+		m, err := Metrics(ctx, client, i)
+		if err != nil {
+			return nil, err
+		}
+		for _, kind := range []string{"first", "hedge", "retry", "reroute"} {
+			sum[kind] += m[prefix+`sub_requests{kind="`+kind+`"}`]
+		}
+		for _, name := range []string{"hedge_wins", "budget_refusals"} {
+			sum[name] += m[prefix+name]
+		}
+	}
+	return sum, nil
+}
+
+// ExtraWatch samples how many first attempts, hedges and retries each entry
+// has sent. The entries publish their counters once a second.
+type ExtraWatch struct {
+	instances []harness.Instance
+	client    *http.Client
+
+	mu      sync.Mutex
+	entries [][]Sample
+	all     []Sample
+}
+
+// NewExtraWatch returns a watch that Run fills.
+func NewExtraWatch(instances []harness.Instance) *ExtraWatch {
+	return &ExtraWatch{instances: instances, client: &http.Client{Timeout: 2 * time.Second},
+		entries: make([][]Sample, len(instances))}
+}
+
+// Run samples every 500 ms until the context ends.
+func (w *ExtraWatch) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.Sample(ctx)
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Sample takes one sample of all entries. It leaves the sample out if an
+// entry does not answer.
+func (w *ExtraWatch) Sample(ctx context.Context) {
+	got := make([]Sample, len(w.instances))
+	ok := make([]bool, len(w.instances))
+	var wg sync.WaitGroup
+	for i, instance := range w.instances {
+		wg.Go(func() {
+			m, err := Metrics(ctx, w.client, instance)
+			sub := func(kind string) int64 { return int64(m[`baobabsill_gateway_sub_requests{kind="`+kind+`"}`]) }
+			got[i], ok[i] = Sample{sub("first"), sub("hedge") + sub("retry")}, err == nil
+		})
+	}
+	wg.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var sum Sample
+	for i := range got {
+		if !ok[i] {
+			return
+		}
+		sum.First += got[i].First
+		sum.Extra += got[i].Extra
+	}
+	for i := range got {
+		w.entries[i] = append(w.entries[i], got[i])
+	}
+	w.all = append(w.all, sum)
+}
+
+// Worst returns the worst window of one entry and that of all together.
+func (w *ExtraWatch) Worst(size int64) (entry, all Window) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, samples := range w.entries {
+		if x := WorstWindow(samples, size); x.Share() >= entry.Share() {
+			entry = x
+		}
+	}
+	return entry, WorstWindow(w.all, size)
+}
--- /dev/null
+++ b/standin/bench/rig.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/standin/harness"
+)
+
+const (
+	// Snapshot is the index snapshot of all rigs.
+	Snapshot = "2026-11-01"
+	// Deadline of searches and operations.
+	Deadline = 2 * time.Second
+
+	itemsPerShard = 2
+	topologySeed  = 42
+	loadSeed      = 7
+)
+
+// zoneDelayMS has the one-way delays between zones of section 1.6.
+var zoneDelayMS = map[string]float64{"huber": 3, "wrapline": 5}
+
+// Env is what all scenarios share.
+type Env struct {
+	Bin     string
+	Phase   time.Duration // length of a measured load
+	Report  *Report
+	printed map[string][]byte // configurations by deployment
+}
+
+// Settings are sections, keys and values of the daemon's settings.
+type Settings map[string]map[string]string
+
+// Policy returns the settings of one policy key.
+func Policy(key, value string) Settings { return Settings{"policy": {key: value}} }
+
+// Document prints the configuration of a deployment.
+func (e *Env) Document(ctx context.Context, deployment string) (declare.Document, error) {
+	var doc declare.Document
+	if e.printed == nil {
+		e.printed = map[string][]byte{}
+	}
+	if e.printed[deployment] == nil {
+		out, err := exec.CommandContext(ctx, "go", "run", "github.com/baobabsill/baobabsill/declare/examples/"+deployment).Output()
+		if err != nil {
+			return doc, fmt.Errorf("print the configuration: %w", err)
+		}
+		e.printed[deployment] = out
+	}
+	return doc, json.Unmarshal(e.printed[deployment], &doc)
+}
+
+// Topology returns the sizes of section 1.6.
+func (e *Env) Topology(ctx context.Context, deployment string) (harness.Topology, error) {
+	doc, err := e.Document(ctx, deployment)
+	return harness.Topology{
+		Document: doc, Instances: []int{3, 3, 2}, ZoneDelayMS: zoneDelayMS[deployment], ZoneJitterMS: 1,
+		ClientDelayMS: 3, ListLagMS: 500, Behaviour: harness.DefaultBehaviour,
+		ItemsPerShard: itemsPerShard, Seed: topologySeed,
+	}, err
+}
+
+// Rig is a running deployment with a balancer.
+type Rig struct {
+	*harness.Cluster
+	Balancer *harness.Balancer
+	cancel   context.CancelFunc
+	idle     context.CancelFunc
+	dir      string
+}
+
+// Start starts a deployment. Settings are added to those of the topology.
+func (e *Env) Start(ctx context.Context, t harness.Topology, settings Settings) (*Rig, error) {
+	all := Settings{}
+	for _, part := range []Settings{t.Settings, settings} {
+		for section, keys := range part {
+			if all[section] == nil {
+				all[section] = map[string]string{}
+			}
+			for k, v := range keys {
+				all[section][k] = v
+			}
+		}
+	}
+	t.Settings = all
+	dir, err := os.MkdirTemp("", "baobabsill-bench-")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &Rig{Cluster: harness.NewCluster(t, e.Bin, dir), cancel: cancel, dir: dir}
+	if err := r.Cluster.Start(ctx, Snapshot); err != nil {
+		r.Close()
+		return nil, err
+	}
+	r.Balancer = harness.NewBalancer(r.Instances, time.Duration(t.ClientDelayMS*float64(time.Millisecond)))
+	r.Balancer.Refresh(ctx)
+	balanced, idle := context.WithCancel(ctx)
+	r.idle = idle
+	go r.Balancer.Run(balanced)
+	return r, nil
+}
+
+// StopBalancer ends the readiness checks, so that idle instances are idle.
+func (r *Rig) StopBalancer() { r.idle() }
+
+// Close kills all processes and removes their files.
+func (r *Rig) Close() {
+	r.cancel()
+	r.Cluster.Close()
+	_ = os.RemoveAll(r.dir)
+}
+
+// Search returns a declared search. The empty name stands for the search of
+// class partial with the most shards.
+func (r *Rig) Search(name string) declare.Search {
+	var best declare.Search
+	for _, s := range r.Topology.Document.Searches {
+		if s.Name == name {
+			return s
+		}
+		if name == "" && s.Class == declare.ClassPartial && len(s.Services) > len(best.Services) {
+			best = s
+		}
+	}
+	return best
+}
+
+// Load returns an open-loop load of a search.
+func (r *Rig) Load(search string, rate float64, d time.Duration) harness.Load {
+	return harness.Load{Search: r.Search(search), Rate: rate, Duration: d, Deadline: Deadline,
+		MaxInFlight: 1000, ItemsPerShard: r.Topology.ItemsPerShard, Seed: loadSeed}
+}
+
+// WarmUp puts load on all targets until they are warm; the results are dropped.
+func (r *Rig) WarmUp(ctx context.Context, rate float64, d time.Duration) {
+	var loads []harness.Load
+	for _, s := range r.Topology.Document.Searches {
+		loads = append(loads, r.Load(s.Name, rate, d))
+	}
+	_, _ = r.Run(ctx, nil, loads...)
+}
+
+// Run runs loads and, if given, an action 300 ms after their start.
+func (r *Rig) Run(ctx context.Context, action func() error, loads ...harness.Load) ([]*harness.Result, error) {
+	results := make([]*harness.Result, len(loads))
+	var wg sync.WaitGroup
+	for i, l := range loads {
+		wg.Go(func() { results[i] = l.Run(ctx, l.Search.Name, r.Balancer) })
+	}
+	var err error
+	if action != nil {
+		time.Sleep(300 * time.Millisecond)
+		err = action()
+	}
+	wg.Wait()
+	if err == nil {
+		err = ctx.Err()
+	}
+	return results, err
+}
+
+// TargetOf returns the zone and the name of a replica, counted from 1, of a service.
+func (r *Rig) TargetOf(service string, replica int) (zone, name string) {
+	zones := r.Topology.Document.Zones
+	at := slices.IndexFunc(r.Topology.Document.Services, func(s declare.Service) bool { return s.Name == service })
+	return zones[(at+replica-1)%len(zones)].Name, fmt.Sprintf("%s-r%d", service, replica)
+}
+
+// Arrived returns the requests that all targets have read so far.
+func (r *Rig) Arrived(ctx context.Context) (int64, error) {
+	counts, err := r.Counts(ctx)
+	var sum int64
+	for _, c := range counts {
+		sum += c.Arrived
+	}
+	return sum, err
+}
+
+// Service returns a declared service.
+func (r *Rig) Service(name string) declare.Service {
+	for _, s := range r.Topology.Document.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return declare.Service{}
+}
--- /dev/null
+++ b/standin/cmd/bench/main.go
@@ -0,0 +1,126 @@
+// Command bench measures the request policies over the same stand-ins as the
+// demo and prints each measure as a ratio against a baseline of the same run.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/baobabsill/baobabsill/standin/bench"
+)
+
+// limit ends a run that hangs.
+const limit = 40 * time.Minute
+
+// run is one scenario at one deployment.
+type run struct {
+	*bench.Env
+	scenario, deployment string
+}
+
+// scenarios in the order of a full run. Without --deployment, each runs at the
+// deployments that weigh its measure.
+var scenarios = []struct {
+	name        string
+	deployments []string
+	do          func(context.Context, *run) error
+}{
+	{"tail", []string{"huber"}, tail},
+	{"extra", []string{"huber"}, extra},
+	{"config", []string{"huber"}, config},
+}
+
+func main() {
+	bin := flag.String("bin", "bin", "directory of the programs")
+	only := flag.String("only", "", "run only these scenarios, separated by commas")
+	seconds := flag.Float64("seconds", 12, "length of each measured phase")
+	deployment := flag.String("deployment", "", "huber, wrapline or both; by default each scenario's own")
+	file := flag.String("json", "", "also write the results to this file")
+	flag.Parse()
+	if err := check(*only, *deployment, *seconds); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(2)
+	}
+	programs, err := filepath.Abs(*bin)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	report := bench.NewReport(os.Stdout)
+	env := &bench.Env{Bin: programs, Phase: time.Duration(*seconds * float64(time.Second)), Report: report}
+	begin := time.Now()
+	runAll(ctx, env, *only, *deployment)
+	report.Table()
+	fmt.Printf("\nThe run took %.0f s, with phases of %.3g s.\n", time.Since(begin).Seconds(), *seconds)
+	if *file != "" {
+		if err := report.Write(*file); err != nil {
+			report.Error("write %s: %v", *file, err)
+		}
+	}
+	if len(report.Errors) > 0 {
+		os.Exit(1)
+	}
+}
+
+func check(only, deployment string, seconds float64) error {
+	if !slices.Contains([]string{"", "huber", "wrapline", "both"}, deployment) {
+		return fmt.Errorf("unknown deployment %q", deployment)
+	}
+	if seconds < 0.5 || seconds > 600 {
+		return fmt.Errorf("--seconds must be between 0.5 and 600")
+	}
+	for _, name := range strings.Split(only, ",") {
+		known := name == ""
+		for _, s := range scenarios {
+			known = known || s.name == name
+		}
+		if !known {
+			return fmt.Errorf("unknown scenario %q", name)
+		}
+	}
+	return nil
+}
+
+func runAll(ctx context.Context, env *bench.Env, only, deployment string) {
+	for _, s := range scenarios {
+		if only != "" && !slices.Contains(strings.Split(only, ","), s.name) {
+			continue
+		}
+		on := s.deployments
+		switch deployment {
+		case "both":
+			on = []string{"huber", "wrapline"}
+		case "huber", "wrapline":
+			on = []string{deployment}
+		}
+		for _, d := range on {
+			begin := time.Now()
+			env.Report.Print("\n== %s, %s", s.name, d)
+			if err := s.do(ctx, &run{env, s.name, d}); err != nil {
+				env.Report.Error("%s, %s: %v", s.name, d, err)
+			}
+			env.Report.Print("  took %.0f s", time.Since(begin).Seconds())
+			if ctx.Err() != nil {
+				return
+			}
+		}
+	}
+}
+
+// add adds a row of this scenario.
+func (r *run) add(measure string, value float64, unit string, baseline float64, against string, bound bench.Bound, note string) {
+	r.Report.Add(bench.Row{Scenario: r.scenario, Deployment: r.deployment, Measure: measure, Value: value,
+		Unit: unit, Baseline: baseline, Against: against, Bound: bound, Note: note})
+}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -48,6 +48,10 @@
 	Reset    bool     `json:"reset,omitempty"`
 	DelayMS  *float64 `json:"delay_ms,omitempty"`
 	JitterMS *float64 `json:"jitter_ms,omitempty"`
+	// LossShare of the chunks come RetransmitMS later, as after a lost packet.
+	// The chunks behind them on the same connection wait.
+	LossShare    *float64 `json:"loss_share,omitempty"`
+	RetransmitMS *float64 `json:"retransmit_ms,omitempty"`
 }
 
 type pair struct{ a, b string }
@@ -61,6 +65,8 @@
 
 type pairState struct {
 	delay, jitter float64
+	loss          float64       // share of chunks
+	retransmit    float64       // ms
 	restored      chan struct{} // not nil while cut
 }
 
@@ -143,6 +149,12 @@
 	if c.JitterMS != nil {
 		s.jitter = *c.JitterMS
 	}
+	if c.LossShare != nil {
+		s.loss = *c.LossShare
+	}
+	if c.RetransmitMS != nil {
+		s.retransmit = *c.RetransmitMS
+	}
 	if c.Cut != nil {
 		if s.restored != nil && !*c.Cut {
 			close(s.restored)
@@ -183,6 +195,9 @@
 		return 0, s.restored
 	}
 	ms := s.delay + s.jitter*r.rng.Float64()
+	if s.loss > 0 && r.rng.Float64() < s.loss {
+		ms += s.retransmit
+	}
 	return time.Duration(ms * float64(time.Millisecond)), s.restored
 }
 
