Hedge by the latency of all searches while a service has few samples

Cause: the hedge delay needs 50 samples of a service in 16 s; with 30 searches a second over 8 instances a service gets about 60, so most hedges waited for the 250 ms default. Ruled out: the budget (no refusal for lack of a token) and the overload flag (12 refusals). Change: the quantile of all search sub-requests serves until the service has its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,13 +84,13 @@
 	switch e.code {
 	case outcome.Answered:
 		target.smooth(e.took)
-		g.stats.service(service).Record(now, e.took)
+		g.stats.record(service, req.GetIdempotent(), now, e.took)
 	case outcome.NotRun:
 	default:
 		e.code = outcome.Unknown
 		if g.isSlow(ctx, service, e.took, now) {
 			target.smooth(e.took)
-			g.stats.service(service).Record(now, e.took)
+			g.stats.record(service, req.GetIdempotent(), now, e.took)
 		}
 	}
 	if e.isLoadRefusal() {
@@ -107,7 +107,7 @@
 	if ctx.Err() == nil {
 		return false
 	}
-	p95, ok := g.stats.service(service).P95(now)
+	p95, ok := g.stats.p95(service, now)
 	return ok && took >= p95 || context.Cause(ctx) == context.DeadlineExceeded
 }
 
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -18,7 +18,7 @@
 	case HedgeFixed:
 		return g.policy.FixedDelay, true
 	}
-	p95, ok := g.stats.service(service).P95(now)
+	p95, ok := g.stats.p95(service, now)
 	if !ok {
 		return coldHedgeDelay, true
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -20,6 +20,7 @@
 // entries that exist and safe for concurrent use.
 type Stats struct {
 	services sync.Map // service name to *Latency
+	searches Latency  // of all search sub-requests
 	targets  sync.Map // target name to *targetStats
 	lacking  sync.Map // lackKey to Unix nanoseconds of its end
 	turn     atomic.Uint64
@@ -46,6 +47,24 @@
 	return v.(*Latency)
 }
 
+// record adds the latency of one attempt.
+func (s *Stats) record(service string, isSearch bool, now time.Time, d time.Duration) {
+	s.service(service).Record(now, d)
+	if isSearch {
+		s.searches.Record(now, d)
+	}
+}
+
+// p95 returns the quantile of the service, or that of all searches while the
+// service has too few samples: an instance that gets a few searches a second
+// would otherwise send no hedge in time.
+func (s *Stats) p95(service string, now time.Time) (time.Duration, bool) {
+	if d, ok := s.service(service).P95(now); ok {
+		return d, true
+	}
+	return s.searches.P95(now)
+}
+
 func (s *Stats) target(name string) *targetStats {
 	if v, ok := s.targets.Load(name); ok {
 		return v.(*targetStats)
