--- /dev/null
+++ b/standin/bench/openloop.go
@@ -0,0 +1,90 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/baobabsill/baobabsill/standin/harness"
+)
+
+// Event is one request of an OpenLoop. Times count from the begin of the load.
+type Event struct {
+	Planned, Ended   time.Duration
+	Outcome, Reason  string
+	Answered, Shards int // of the stated coverage
+}
+
+// Took returns the time from the planned arrival to the answer.
+func (e Event) Took() time.Duration { return e.Ended - e.Planned }
+
+// OpenLoop sends requests at random arrivals with a mean rate per second and
+// waits for all answers. It sends nothing while maxInFlight are open; such an
+// arrival ends at once as harness.OutcomeNotSent.
+func OpenLoop(ctx context.Context, rate float64, d time.Duration, seed uint64, maxInFlight int, call func(n int) harness.Reply) []Event {
+	rng := rand.New(rand.NewPCG(seed, 0x0be9))
+	places := make(chan struct{}, maxInFlight)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var events []Event
+	begin := time.Now()
+	for planned, n := time.Duration(0), 0; ctx.Err() == nil; n++ {
+		planned += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if planned > d {
+			break
+		}
+		time.Sleep(time.Until(begin.Add(planned)))
+		e := Event{Planned: planned}
+		select {
+		case places <- struct{}{}:
+		default:
+			e.Ended, e.Outcome = planned, harness.OutcomeNotSent
+			mu.Lock()
+			events = append(events, e)
+			mu.Unlock()
+			continue
+		}
+		wg.Go(func() {
+			r := call(n)
+			<-places
+			e.Ended, e.Outcome, e.Reason = time.Since(begin), r.Outcome, r.Reason
+			e.Answered, e.Shards = r.Coverage.Answered, r.Coverage.Total
+			mu.Lock()
+			events = append(events, e)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return events
+}
+
+// Tally counts events by outcome and reason.
+func Tally(events []Event) map[string]int {
+	counts := map[string]int{}
+	for _, e := range events {
+		counts[e.Outcome+" "+e.Reason]++
+	}
+	return counts
+}
+
+// Times returns the sorted times in milliseconds of the events that are kept.
+func Times(events []Event, keep func(Event) bool) []float64 {
+	var ms []float64
+	for _, e := range events {
+		if keep(e) {
+			ms = append(ms, float64(e.Took().Microseconds())/1000)
+		}
+	}
+	slices.Sort(ms)
+	return ms
+}
+
+// At returns a quantile between 0 and 1 of sorted values, 0 if there are none.
+func At(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
