Measure coverage, zone changes and cold targets

Cause: coverage with lost replicas, a zone that leaves and returns, and the load on cold targets had no figures against a baseline.

Change: the scenarios coverage, zone and cold run the same load without and with the event.

--- /dev/null
+++ b/standin/cmd/bench/coverage.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/standin/bench"
+	"github.com/baobabsill/baobabsill/standin/harness"
+	"github.com/baobabsill/baobabsill/standin/target"
+)
+
+const (
+	coverageRate = 15 // searches per second of each search
+	// killEvery spreads the losses over the load, so that entries meet lost
+	// replicas throughout the phase.
+	killEvery = 20 * time.Millisecond
+)
+
+// coverage kills one replica of each service during the load.
+func coverage(ctx context.Context, r *run) error {
+	t, err := r.Topology(ctx, r.deployment)
+	if err != nil {
+		return err
+	}
+	rig, err := r.Start(ctx, t, nil)
+	if err != nil {
+		return err
+	}
+	defer rig.Close()
+	rig.WarmUp(ctx, coverageRate, warmUp)
+	loads := func() []harness.Load {
+		var all []harness.Load
+		for _, s := range t.Document.Searches {
+			all = append(all, rig.Load(s.Name, coverageRate, r.Phase))
+		}
+		return all
+	}
+	steady, err := rig.Run(ctx, nil, loads()...)
+	if err != nil {
+		return err
+	}
+	for _, res := range steady {
+		r.Report.Phase(r.scenario, r.deployment, res.Name+", all replicas", res)
+	}
+	lost, err := rig.Run(ctx, func() error { return killOne(ctx, rig) }, loads()...)
+	if err != nil {
+		return err
+	}
+	for i, res := range lost {
+		r.Report.Phase(r.scenario, r.deployment, res.Name+", replicas lost", res)
+		s := rig.Search(res.Name)
+		answered := res.Outcomes["answered"]
+		if s.Class == declare.ClassComplete {
+			r.add(res.Name+": complete answers that are complete", float64(answered-res.Faults.Incomplete), "", float64(answered), "answers", bench.AtLeast(1), "")
+			r.add(res.Name+": answered", float64(answered), "", float64(res.Sent), "sent", bench.Bound{}, "one replica of each service lost")
+		} else {
+			r.add(res.Name+": full answers", float64(res.Full), "", float64(res.Sent), "sent", bench.AtLeast(0.999), "one replica of each service lost")
+		}
+		r.add(res.Name+": p99 with replicas lost", bench.Quantile(res, 99), "ms", bench.Quantile(steady[i], 99), "all replicas", bench.Bound{}, "")
+	}
+	return nil
+}
+
+func killOne(ctx context.Context, rig *bench.Rig) error {
+	for i, s := range rig.Topology.Document.Services {
+		zone, name := rig.TargetOf(s.Name, 1+i%s.Replicas)
+		if err := rig.Change(ctx, zone, name, target.Change{Kill: true}); err != nil {
+			return err
+		}
+		time.Sleep(killEvery)
+	}
+	return nil
+}
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -37,6 +37,9 @@
 	{"extra", []string{"huber"}, extra},
 	{"config", []string{"huber"}, config},
 	{"overload", []string{"huber", "wrapline"}, overload},
+	{"coverage", []string{"wrapline"}, coverage},
+	{"zone", []string{"huber", "wrapline"}, zone},
+	{"cold", []string{"huber"}, coldStart},
 }
 
 func main() {
