--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -37,6 +37,7 @@
 	{"extra", []string{"huber"}, extra},
 	{"config", []string{"huber"}, config},
 	{"overload", []string{"huber", "wrapline"}, overload},
+	{"cost", []string{"huber"}, cost},
 	{"coverage", []string{"wrapline"}, coverage},
 	{"zone", []string{"huber", "wrapline"}, zone},
 	{"cold", []string{"huber"}, coldStart},
