--- a/standin/cmd/bench/tail.go
+++ b/standin/cmd/bench/tail.go
@@ -113,11 +113,11 @@
 		settings bench.Settings
 		faults   bool
 	}{
-		{"fault-free, p95", nil, false},
+		{"fault-free", nil, false},
 		{"no hedging", bench.Policy("hedging", "off"), true},
 		{"fixed hedging", bench.Policy("hedging", "fixed"), true},
-		{"p95", nil, true},
-		{"p95, round-robin", bench.Policy("replica_choice", "round-robin"), true},
+		{"p95 hedging", nil, true},
+		{"p95 hedging, round-robin", bench.Policy("replica_choice", "round-robin"), true},
 	} {
 		res, err := r.measure(ctx, p.name, p.settings, p.faults)
 		if err != nil {
@@ -125,10 +125,10 @@
 		}
 		results[p.name] = res
 	}
-	for _, policy := range []string{"p95", "fixed hedging", "p95, round-robin"} {
+	for _, policy := range []string{"p95 hedging", "fixed hedging", "p95 hedging, round-robin"} {
 		for _, q := range []float64{50, 99, 99.9} {
 			off, free := bench.AtMost(0.5), bench.AtMost(1.5)
-			if policy != "p95" || q == 50 {
+			if policy != "p95 hedging" || q == 50 {
 				// The targets hold for the default policy at p99 and p99.9.
 				off, free = bench.Bound{}, bench.Bound{}
 			}
@@ -140,7 +140,7 @@
 			for _, base := range []struct {
 				name  string
 				bound bench.Bound
-			}{{"no hedging", off}, {"fault-free, p95", free}} {
+			}{{"no hedging", off}, {"fault-free", free}} {
 				r.add(fmt.Sprintf("%s, p%v", policy, q), bench.Quantile(results[policy], q), "ms",
 					bench.Quantile(results[base.name], q), base.name, base.bound, note)
 			}
