Take the peak of goodput over all steps of overload

Cause: in a short trial the step at 2 times the capacity had more goodput than the search for the peak, and the step at 5 times was held against the lower one.

Change: the later step is held against the highest goodput so far.

--- a/standin/cmd/bench/overload.go
+++ b/standin/cmd/bench/overload.go
@@ -85,13 +85,16 @@
 			peak = s
 		}
 	}
+	capacity := peak.rate
 	for _, factor := range []float64{2, 5} {
 		name := fmt.Sprintf("%v × capacity", factor)
-		s, err := r.overloadStep(ctx, rig, name, factor*peak.rate)
+		s, err := r.overloadStep(ctx, rig, name, factor*capacity)
 		if err != nil {
 			return err
 		}
 		r.compareOverload(name, s, low, peak)
+		// The peak is that of all steps, also if a step above the capacity has it.
+		peak.goodput = max(peak.goodput, s.goodput)
 	}
 	return nil
 }
