Remove the records of crashed instances

Cause: an instance that crashes leaves its object instance/<name> at the platform, and nothing removed it.

Ruled out: removal by any instance, which costs a call per instance and record; removal when heartbeats forget an instance after a minute, which a long network cut would turn into a write per minute.

A living instance writes its record again when it sees it deleted, except after Leave.

Conclusion: the list of instances no longer grows with every crash.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -231,3 +231,36 @@
 		}
 	})
 }
+
+// Guards against records of crashed instances that stay for ever, and against
+// a living instance that stays without its record.
+func TestRecordsFollowInstances(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		a, nodes := w.start(p, "a", "z", "1"), []*node{w.start(p, "b", "z", "1", "peer:c"), w.start(p, "c", "z", "1", "peer:a")}
+		time.Sleep(10 * time.Second)
+		w.stop(a)
+		records := func(what string) {
+			t.Helper()
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for name, want := range map[string]bool{"a": false, "b": true, "c": true} {
+				if got := p.objects[objectKey{kindInstance, name}]; want == got.Deleted {
+					t.Errorf("%s: record of %s deleted: %v", what, name, got.Deleted)
+				}
+			}
+		}
+		time.Sleep(9 * time.Minute)
+		if p.objects[objectKey{kindInstance, "a"}].Deleted {
+			t.Error("record removed within nine minutes")
+		}
+		time.Sleep(90 * time.Second)
+		records("ten minutes after the crash")
+		link := &platformLink{p, "b"}
+		for _, n := range nodes {
+			o, _ := link.Get(t.Context(), kindInstance, n.self.Name)
+			_ = link.Delete(t.Context(), kindInstance, n.self.Name, o.Version)
+		}
+		time.Sleep(2 * time.Second)
+		records("after the records of living instances were removed")
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -78,6 +78,7 @@
 	lastTick time.Time
 	selfAt   map[string]bool // seed addresses that are this instance
 	register chan struct{}
+	left     bool // Leave was called
 }
 
 // NewMembership returns a Membership in the state "starting".
@@ -118,6 +119,7 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	calls.Go(func() { m.keepRegistered(ctx) })
+	calls.Go(func() { m.removeDeadRecords(ctx) })
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -106,13 +106,17 @@
 	})
 }
 
-// keepRegistered keeps the object instance/<name> equal to the local state.
+// keepRegistered keeps the object instance/<name> equal to the local state. It
+// writes the object again when another instance removed it.
 func (m *Membership) keepRegistered(ctx context.Context) {
 	var written string
 	var version int64
+	check := time.NewTicker(registerRetry)
+	defer check.Stop()
 	for ctx.Err() == nil {
 		r := m.record()
-		if value, err := json.Marshal(r); err == nil && written != r.State {
+		removed := m.sync.IsDeleted(kindInstance, m.self.Name, version)
+		if value, err := json.Marshal(r); err == nil && (written != r.State || removed) && !m.hasLeft() {
 			v, err := m.registry.Put(ctx, kindInstance, m.self.Name, value, version)
 			current, conflict := platform.CurrentVersion(err)
 			switch {
@@ -132,12 +136,23 @@
 		select {
 		case <-ctx.Done():
 		case <-m.register:
+		case <-check.C:
 		}
 	}
 }
 
-// Leave removes the object instance/<name>. It tries until ctx ends.
+func (m *Membership) hasLeft() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.left
+}
+
+// Leave removes the object instance/<name>, which is not written again. It
+// tries until ctx ends.
 func (m *Membership) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.left = true
+	m.mu.Unlock()
 	for {
 		o, err := m.registry.Get(ctx, kindInstance, m.self.Name)
 		if platform.ErrNotFound.Has(err) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -144,6 +144,14 @@
 	return out
 }
 
+// IsDeleted reports whether an object is known to be deleted after a version.
+func (s *Sync) IsDeleted(kind, name string, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[objectKey{kind, name}]
+	return o.Deleted && o.Version > version
+}
+
 // Versions returns the versions of all known objects, for heartbeats.
 func (s *Sync) Versions() []*peerpb.ObjectVersion {
 	s.mu.Lock()
