Take over the placement of a zone whose members are all gone

Cause: after a crash of all members of a zone, instances of other names neither wrote the placement (they reach no member) nor could have started (no old member says when it left the epoch). The zone stayed dark.

Ruled out: a takeover without the platform, which two halves of a zone could both make; a takeover by instances that their own peers removed, which would fight with them (TestIsolatedInstance); a takeover more than once per process, which made 9 writes in 5 minutes with one isolated new instance instead of at most 2. Accepting a release by the previous holder after a takeover was tried and the lease model refuted it: the move to that holder may not have ended.

Change: an instance that is no member takes the placement over after 30 s without a reachable member, counted unpaused and while the platform answers with the same epoch. The placement names no previous members, and its targets are confirmed after LeaseTerm + MaxClockError.

Measured: TestOrphanedZoneIsTakenOver failed before (no right on any of 6 targets) and passes now: no takeover 28 s after the platform returned, one confirmed holder per target 6 s later. Tests pass under the race detector.

Conclusion: the zone serves again without an operator.

--- a/internal/control/placement_test.go
+++ b/internal/control/placement_test.go
@@ -266,3 +266,53 @@
 		}
 	})
 }
+
+// Guards against a zone that stays dark after all its members crashed and
+// instances of other names took their place, and against a takeover after an
+// outage of the platform that is as long.
+func TestOrphanedZoneIsTakenOver(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		p.list(targetItems(6)...)
+		old := []*node{w.start(p, "a", "z", "1"), w.start(p, "b", "z", "1", "peer:a")}
+		time.Sleep(10 * time.Second)
+		before := epoch(old[0])
+		for _, n := range old {
+			w.stop(n)
+		}
+		nodes := []*node{w.start(p, "c", "z", "1"), w.start(p, "d", "z", "1", "peer:c")}
+		time.Sleep(20 * time.Second)
+		p.set("", true)
+		time.Sleep(30 * time.Second)
+		p.set("", false)
+		time.Sleep(28 * time.Second)
+		if got := epoch(nodes[0]); got != before {
+			t.Errorf("taken over at epoch %d after 28 s with the platform", got)
+		}
+		time.Sleep(6 * time.Second)
+		for target, holder := range nodes[0].store.Load().Placements["z"].Holders {
+			if got := confirmed(nodes, target); len(got) != 1 || got[0] != holder {
+				t.Errorf("%s: %v confirmed, holder %s", target, got, holder)
+			}
+		}
+		if got := nodes[1].store.Load().Placements["z"].Members; len(got) != 2 {
+			t.Errorf("members %v", got)
+		}
+	})
+}
+
+// Guards against a new instance without links to its peers that keeps the zone
+// from its healthy members.
+func TestIsolatedNewInstanceLosesTheZone(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		p.list(targetItems(6)...)
+		nodes := []*node{w.start(p, "a", "z", "1"), w.start(p, "b", "z", "1", "peer:a")}
+		time.Sleep(10 * time.Second)
+		w.link("c", true)
+		w.start(p, "c", "z", "1", "peer:a")
+		p.writes = 0
+		time.Sleep(5 * time.Minute)
+		if got := nodes[0].store.Load().Placements["z"].Members; len(got) != 2 || p.writes > 2 {
+			t.Errorf("members %v after %d writes", got, p.writes)
+		}
+	})
+}
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -112,6 +112,7 @@
 	join := !leaving && (c.Ready == nil || c.Ready())
 	c.plan.observe(snap, p, join, now)
 	e := c.Rights.Evidence()
+	c.plan.observeEvidence(p, e, now)
 	if !join || e.Platform.At.IsZero() || p.Epoch == 0 && !absent {
 		return
 	}
@@ -119,7 +120,15 @@
 	if len(members) == 0 || reason == "" && !slices.Contains(members, c.Self) {
 		return
 	}
-	n := next(p, c.Zone, members, zoneTargets(snap, c.Zone))
+	targets := zoneTargets(snap, c.Zone)
+	if reason == reasonOrphaned {
+		// The moves of p cannot be seen to end; takeover carries them on.
+		if c.plan.turn(now) && c.write(ctx, p, takeover(p, c.Zone, members, targets), reason) == nil {
+			c.plan.orphan.tookOver = true
+		}
+		return
+	}
+	n := next(p, c.Zone, members, targets)
 	if reason == "" && maps.Equal(n.Holders, p.Holders) {
 		c.plan.dirty = time.Time{}
 		return
--- a/internal/placement/evidence.go
+++ b/internal/placement/evidence.go
@@ -176,22 +176,30 @@
 // placement moved, because its previous holder released it or because the
 // previous holder's lease has run out.
 func mayStart(p state.Placement, e *Evidence, self, target string, now time.Time) bool {
+	const wait = LeaseTerm + MaxClockError
 	previous, moved := p.Previous[target]
 	if !moved || p.Epoch == 0 {
 		return true
 	}
+	waited := e.Adopted.Epoch == p.Epoch && !now.Before(e.Adopted.At.Add(wait))
+	if len(p.PreviousMembers) == 0 {
+		// After a takeover, no previous member says when it moved, and only
+		// reads and grants from before the write can confirm one of them. The
+		// release by the previous holder is not enough, because the move to
+		// that holder may not have ended.
+		return waited
+	}
 	if e.Released[target] == p.Epoch {
 		return true
 	}
 	if e.Adopted.Epoch != p.Epoch {
 		return false
 	}
-	const wait = LeaseTerm + MaxClockError
 	others := without(p.PreviousMembers, previous)
 	if len(others) == 0 {
 		// A single member was confirmed by the platform only, which this
 		// epoch ended when it was written.
-		return !now.Before(e.Adopted.At.Add(wait))
+		return waited
 	}
 	for _, m := range others {
 		moved := e.Seen[m]
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -56,6 +57,8 @@
 	until     map[string]map[string]time.Duration
 	confirmed int
 	moves     int
+	replaced  int
+	takeovers int // confirmed rights of holders that took over
 }
 
 var leaseTargets = []string{"t1", "t2", "t3"}
@@ -191,6 +194,62 @@
 	}
 }
 
+// replace crashes an instance and starts one of another name in its place.
+func (m *leaseModel) replace(n *leaseNode) {
+	gone := n.name
+	delete(m.nodes, gone)
+	for _, at := range m.until {
+		delete(at, gone)
+	}
+	m.messages = slices.DeleteFunc(m.messages, func(msg message) bool { return msg.from == gone || msg.to == gone })
+	m.replaced++
+	n.name = fmt.Sprintf("%s%d", gone[:1], m.replaced)
+	m.nodes[n.name], m.names[slices.Index(m.names, gone)] = n, n.name
+	m.start(n)
+}
+
+// takeOver lets an instance that is no member, and reaches none, write the
+// placement. The members crash or are cut off from it, and one of each epoch
+// that may have a lease crashes, which is what orphanDelay assumes. The model
+// does without the delay.
+func (m *leaseModel) takeOver(t *rapid.T) {
+	n, p := m.nodes[rapid.SampledFrom(m.names).Draw(t, "taker")], m.placement
+	if n.paused || !m.linked(n.name, "") {
+		return
+	}
+	if slices.Contains(p.Members, n.name) {
+		m.replace(n)
+	}
+	for _, name := range slices.Concat(p.PreviousMembers, p.Members) {
+		if old := m.nodes[name]; old == nil || name == n.name {
+			continue
+		} else if rapid.Bool().Draw(t, "crash") {
+			m.replace(old)
+		} else {
+			m.cut[min(n.name, name)+"-"+max(n.name, name)] = true
+		}
+	}
+	for _, members := range [][]string{p.PreviousMembers, p.Members} {
+		if len(members) > 1 && !slices.ContainsFunc(members, func(name string) bool { return m.nodes[name] == nil }) {
+			return
+		}
+	}
+	m.adopt(n, p)
+	n.rights.ObservePlatform(p.Epoch, m.clock(n))
+	members := []string{n.name}
+	for _, name := range m.names {
+		if name != n.name && !slices.Contains(p.Members, name) && rapid.Bool().Draw(t, "joins") {
+			members = append(members, name)
+		}
+	}
+	slices.Sort(members)
+	m.placement = takeover(p, "z", members, leaseTargets)
+	m.placement.Epoch = p.Epoch + 1
+	if rapid.Bool().Draw(t, "answered") {
+		m.adopt(n, m.placement)
+	}
+}
+
 // release lets an instance report the targets that moved away from it. None
 // is in flight there, so its last right has no effect any more.
 func (m *leaseModel) release(n *leaseNode) {
@@ -214,6 +273,9 @@
 				continue
 			}
 			m.confirmed++
+			if p := n.store.Load().Placements["z"]; p.Previous[target] != "" && p.PreviousMembers == nil {
+				m.takeovers++
+			}
 			for other, until := range m.until[target] {
 				if other != name && m.now < until {
 					t.Fatalf("%s and %s are both confirmed for %s at %v (epochs %d and %d)", name, other, target, m.now,
@@ -228,9 +290,9 @@
 
 // Guards against two instances that may both send to a cold target, over
 // pauses, cuts, platform outages, lost and late messages, joins, leaves and
-// restarts.
+// restarts, and over members that crash while others take over.
 func TestOneConfirmedHolder(t *testing.T) {
-	confirmed, moves := 0, 0
+	confirmed, moves, takeovers := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newLeaseModel(t)
 		node := func(t *rapid.T) *leaseNode { return m.nodes[rapid.SampledFrom(m.names).Draw(t, "node")] }
@@ -264,6 +326,7 @@
 			},
 			"write1":  m.write,
 			"write2":  m.write,
+			"take":    m.takeOver,
 			"release": func(t *rapid.T) { m.release(node(t)) },
 			"restart": func(t *rapid.T) {
 				n := node(t)
@@ -285,9 +348,10 @@
 		})
 		confirmed += m.confirmed
 		moves += m.moves
+		takeovers += m.takeovers
 	})
-	t.Logf("%d confirmed rights over %d moves", confirmed, moves)
-	if confirmed < 1000 || moves < 1000 {
+	t.Logf("%d confirmed rights over %d moves, %d after a takeover", confirmed, moves, takeovers)
+	if confirmed < 1000 || moves < 1000 || takeovers < 1000 {
 		t.Fatal("the model hardly confirmed or moved anything")
 	}
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -31,6 +31,7 @@
 	last       time.Time
 	up, down   map[string]time.Time // since when an instance is alive or not
 	dirty      time.Time            // since when a change is due
+	orphan     orphanWatch
 }
 
 func newPlanner(self, zone string) *planner {
@@ -43,7 +44,7 @@
 	if now.Sub(pl.last) > stallGap {
 		clear(pl.up)
 		clear(pl.down)
-		pl.dirty = time.Time{}
+		pl.dirty, pl.orphan.since = time.Time{}, Mark{}
 	}
 	pl.last = now
 	names := slices.Clone(p.Members)
@@ -79,16 +80,13 @@
 	if len(p.Members) == 0 || p.Released {
 		return slices.Sorted(maps.Keys(pl.up)), "no placement"
 	}
-	missing := 0
-	for _, m := range p.Members {
-		if _, down := pl.down[m]; down {
-			missing++
-		}
-	}
+	missing := pl.missing(p)
 	if missing == len(p.Members) {
-		// Who reaches no member may be cut off itself, and could not start
-		// anyway, since nobody can say that the members' leases have ended.
-		return p.Members, ""
+		// An instance that reaches no member may be cut off itself.
+		if !pl.orphan.isOrphaned(p, now) {
+			return p.Members, ""
+		}
+		return slices.Sorted(maps.Keys(pl.up)), reasonOrphaned
 	}
 	delay := removeAfter
 	if len(pl.up) < missing {
@@ -110,6 +108,30 @@
 	return members, reason
 }
 
+// missing returns the number of members that are unreachable.
+func (pl *planner) missing(p state.Placement) (n int) {
+	for _, m := range p.Members {
+		if _, down := pl.down[m]; down {
+			n++
+		}
+	}
+	return n
+}
+
+// observeEvidence updates since when no member is reachable while the platform
+// answers. It is called after observe.
+func (pl *planner) observeEvidence(p state.Placement, e *Evidence, now time.Time) {
+	unreachable := len(p.Members) > 0 && !p.Released && pl.missing(p) == len(p.Members)
+	for _, m := range p.PreviousMembers {
+		// A reachable instance that has not moved to p may still grant at the
+		// epoch before.
+		if _, up := pl.up[m]; up && m != pl.self && e.Seen[m].Epoch < p.Epoch {
+			unreachable = false
+		}
+	}
+	pl.orphan.observe(p, pl.self, unreachable, e.Platform, now)
+}
+
 // turn reports whether it is the local instance's turn to reconcile a change
 // that is due: the first live instance by name at once, others later.
 func (pl *planner) turn(now time.Time) bool {
