Split long functions of placement and control, and name things apart

Cause: Controller embedded its Config, which exported the wiring as fields of the Controller; "next", "takesOver" and "takeover" each stood for two things; reconcile, write, keepRegistered and takeLoads did several jobs each, and takeLoads lived among the record functions.

Behaviour is the same.

--- a/internal/control/deadrecord.go
+++ b/internal/control/deadrecord.go
@@ -39,11 +39,13 @@
 	d.last = now
 	maps.DeleteFunc(d.since, func(r recordVersion, _ time.Time) bool { _, ok := answered[r]; return !ok })
 	for r, at := range answered {
-		if since, ok := d.since[r]; !ok {
+		since, ok := d.since[r]
+		switch {
+		case !ok:
 			d.since[r] = now
-		} else if at.After(since) {
+		case at.After(since):
 			d.since[r] = at
-		} else if now.Sub(since) >= removeRecordAfter {
+		case now.Sub(since) >= removeRecordAfter:
 			dead = append(dead, r)
 		}
 	}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -77,8 +77,9 @@
 	records  map[string]int64 // versions of the instance objects seen
 	lastTick time.Time
 	selfAt   map[string]bool // seed addresses that are this instance
-	register chan struct{}
-	left     bool // Leave was called
+	left     bool            // Leave was called
+	// stateChanged has keepRegistered write the local state.
+	stateChanged chan struct{}
 }
 
 // NewMembership returns a Membership in the state "starting".
@@ -87,8 +88,8 @@
 		logger: orDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
 		leases: leases, pool: pool, registry: registry, state: StateStarting,
 		members: map[string]*member{}, records: map[string]int64{},
-		selfAt:   map[string]bool{self.PeerAddress: true},
-		register: make(chan struct{}, 1),
+		selfAt:       map[string]bool{self.PeerAddress: true},
+		stateChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -103,7 +104,7 @@
 	m.mu.Unlock()
 	if changed {
 		signal(m.sync.push)
-		signal(m.register)
+		signal(m.stateChanged)
 	}
 }
 
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"time"
 
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
-	"github.com/baobabsill/baobabsill/internal/state"
 )
 
 // registerRetry is the interval of attempts to write instance/<name>.
@@ -65,82 +63,53 @@
 	}
 }
 
-// takeLoads publishes what an instance reports of the targets that it serves.
-// Reports of others than the holder count only while the holder does not
-// answer, and an instance cannot take back that a target leaves.
-func (m *Membership) takeLoads(from string, loads []state.Load, now time.Time) {
-	m.leases.ObserveLoads(from, loads, now)
-	if len(loads) == 0 {
-		return
-	}
-	merge := func(snap *state.Snapshot) map[string]state.Load {
-		var merged map[string]state.Load
-		for _, l := range loads {
-			old, ok := snap.Loads[l.Target]
-			holder := snap.Placements[snap.Targets[l.Target].Zone].Holders[l.Target]
-			live := snap.Instances[holder].Liveness
-			if ok && holder != from && l.Phase != state.PhaseLeaving && (holder == m.self.Name || live == state.Alive || live == state.Draining) {
-				continue
-			}
-			if ok && old.Phase == state.PhaseLeaving && old.Incarnation == l.Incarnation {
-				l.Phase = state.PhaseLeaving
-			}
-			if old == l {
-				continue
-			}
-			if merged == nil {
-				merged = make(map[string]state.Load, len(snap.Loads)+1)
-				maps.Copy(merged, snap.Loads)
-			}
-			merged[l.Target] = l
-		}
-		return merged
-	}
-	if merge(m.store.Load()) == nil {
-		return
-	}
-	m.store.Update(func(next *state.Snapshot) {
-		if merged := merge(next); merged != nil {
-			next.Loads = merged
-		}
-	})
-}
-
 // keepRegistered keeps the object instance/<name> equal to the local state. It
 // writes the object again when another instance removed it.
 func (m *Membership) keepRegistered(ctx context.Context) {
-	var written string
+	var written string // state in the object
 	var version int64
 	check := time.NewTicker(registerRetry)
 	defer check.Stop()
 	for ctx.Err() == nil {
 		r := m.record()
 		removed := m.sync.IsDeleted(kindInstance, m.self.Name, version)
-		if value, err := json.Marshal(r); err == nil && (written != r.State || removed) && !m.hasLeft() {
-			v, err := m.registry.Put(ctx, kindInstance, m.self.Name, value, version)
-			current, conflict := platform.CurrentVersion(err)
-			switch {
-			case err == nil:
-				written, version = r.State, v
-				m.sync.Apply(platform.Object{Kind: kindInstance, Name: m.self.Name, Version: v, Value: value})
-			case conflict:
+		if (written != r.State || removed) && !m.hasLeft() {
+			v, err := m.register(ctx, r, version)
+			if current, conflict := platform.CurrentVersion(err); conflict {
 				version = current
 				sleep(ctx, heartbeatEvery/5)
 				continue
-			default:
+			}
+			if err != nil {
 				m.logger.Debug().Err(err).Msg("instance not registered")
 				sleep(ctx, registerRetry)
 				continue
 			}
+			written, version = r.State, v
 		}
 		select {
 		case <-ctx.Done():
-		case <-m.register:
+		case <-m.stateChanged:
 		case <-check.C:
 		}
 	}
 }
 
+// register writes the object instance/<name> if it is at a version, and
+// returns its next version.
+func (m *Membership) register(ctx context.Context, r InstanceRecord, ifVersion int64) (int64, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	version, err := m.registry.Put(ctx, kindInstance, r.Name, value, ifVersion)
+	if err != nil {
+		return 0, err
+	}
+	m.sync.Apply(platform.Object{Kind: kindInstance, Name: r.Name, Version: version, Value: value})
+	return version, nil
+}
+
 func (m *Membership) hasLeft() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// kindPlacement is the kind of the platform object of each zone.
+	kindPlacement  = "placement"
 	reconcileEvery = 100 * time.Millisecond
 	// readEvery is the interval of platform reads while the peers' grants do
 	// not confirm the lease. Three reads fit into one LeaseTerm.
@@ -61,7 +63,7 @@
 // Controller reconciles the placement of its zone, renews the lease and hands
 // targets over. Its methods may be called concurrently; Run is called once.
 type Controller struct {
-	Config
+	config Config
 	logger *log.Logger
 	plan   *planner
 
@@ -79,7 +81,10 @@
 	if logger == nil {
 		logger = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	}
-	return &Controller{Config: config, logger: logger, plan: newPlanner(config.Self, config.Zone), handovers: map[string]bool{}, adopted: map[string]int64{}}
+	return &Controller{
+		config: config, logger: logger, plan: newPlanner(config.Self, config.Zone),
+		handovers: map[string]bool{}, adopted: map[string]int64{},
+	}
 }
 
 // Run reconciles until ctx ends.
@@ -100,35 +105,41 @@
 
 func (c *Controller) reconcile(ctx context.Context, calls *sync.WaitGroup) {
 	now := time.Now()
-	snap := c.Store.Load()
-	p := snap.Placements[c.Zone]
-	c.Rights.ObserveAdopted(p.Epoch, now)
+	snap := c.config.Store.Load()
+	p := snap.Placements[c.config.Zone]
+	c.config.Rights.ObserveAdopted(p.Epoch, now)
 	c.releaseMoved(ctx, calls, snap)
 	c.renew(ctx, calls, p, now)
+	c.replan(ctx, snap, p, now)
+}
 
+// replan writes the next placement if the members or targets changed and it is
+// the turn of this instance.
+func (c *Controller) replan(ctx context.Context, snap *state.Snapshot, p state.Placement, now time.Time) {
 	c.mu.Lock()
 	leaving, absent := c.leaving, c.absent
 	c.mu.Unlock()
-	join := !leaving && (c.Ready == nil || c.Ready())
+	join := !leaving && (c.config.Ready == nil || c.config.Ready())
+	e := c.config.Rights.Evidence()
 	c.plan.observe(snap, p, join, now)
-	e := c.Rights.Evidence()
 	c.plan.observeEvidence(p, e, now)
-	if !join || e.Platform.At.IsZero() || p.Epoch == 0 && !absent {
+	isRead := !e.Platform.At.IsZero() && (p.Epoch != 0 || absent)
+	if !join || !isRead {
 		return
 	}
 	members, reason := c.plan.members(p, now)
-	if len(members) == 0 || reason == "" && !slices.Contains(members, c.Self) {
+	if len(members) == 0 || reason == "" && !slices.Contains(members, c.config.Self) {
 		return
 	}
-	targets := zoneTargets(snap, c.Zone)
+	targets := zoneTargets(snap, c.config.Zone)
 	if reason == reasonOrphaned {
-		// The moves of p cannot be seen to end; takeover carries them on.
-		if c.plan.turn(now) && c.write(ctx, p, takeover(p, c.Zone, members, targets), reason) == nil {
+		// The moves of p cannot be seen to end; the takeover carries them on.
+		if c.plan.turn(now) && c.write(ctx, p, takeoverPlacement(p, c.config.Zone, members, targets), reason) == nil {
 			c.plan.orphan.tookOver = true
 		}
 		return
 	}
-	n := next(p, c.Zone, members, targets)
+	n := nextPlacement(p, c.config.Zone, members, targets)
 	if reason == "" && maps.Equal(n.Holders, p.Holders) {
 		c.plan.dirty = time.Time{}
 		return
@@ -136,7 +147,7 @@
 	if reason == "" {
 		reason = "targets changed"
 	}
-	if c.plan.turn(now) && settled(p, e, c.Self, now) {
+	if c.plan.turn(now) && settled(p, e, c.config.Self, now) {
 		_ = c.write(ctx, p, n, reason) // logged; the next round tries again
 		c.plan.dirty = time.Time{}
 	}
@@ -145,9 +156,9 @@
 // renew reads the placement from the platform while the peers' grants do not
 // confirm the lease for another read interval.
 func (c *Controller) renew(ctx context.Context, calls *sync.WaitGroup, p state.Placement, now time.Time) {
-	e := c.Rights.Evidence()
-	granted := !e.Platform.At.IsZero() && slices.Contains(p.Members, c.Self) &&
-		grantedUntil(p, e, c.Self).After(now.Add(readEvery))
+	e := c.config.Rights.Evidence()
+	granted := !e.Platform.At.IsZero() && slices.Contains(p.Members, c.config.Self) &&
+		grantedUntil(p, e, c.config.Self).After(now.Add(readEvery))
 	c.mu.Lock()
 	due := !granted && !c.reading && now.Sub(c.readAt) >= readEvery
 	if due {
@@ -169,13 +180,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	o, err := c.Platform.Get(ctx, "placement", c.Zone)
+	o, err := c.config.Platform.Get(ctx, kindPlacement, c.config.Zone)
 	missing := platform.ErrNotFound.Has(err)
 	if err == nil || missing {
 		if !missing {
-			c.Apply(o)
+			c.config.Apply(o)
 		}
-		c.Rights.ObservePlatform(o.Version, sentAt)
+		c.config.Rights.ObservePlatform(o.Version, sentAt)
 		c.mu.Lock()
 		c.absent = missing
 		c.mu.Unlock()
@@ -185,9 +196,22 @@
 
 // write replaces the placement p by n if p is still in force at the platform.
 func (c *Controller) write(ctx context.Context, p, n state.Placement, reason string) error {
+	epoch, err := c.put(ctx, p, n)
+	entry := c.logger.Info()
+	if err != nil {
+		entry = c.logger.Warn().Err(err)
+	}
+	entry.Str("zone", c.config.Zone).Str("reason", reason).Int64("from_epoch", p.Epoch).Int64("epoch", epoch).
+		Strs("members", n.Members).Int("targets", len(n.Holders)).Int("moved", len(n.Previous)).
+		Bool("released", n.Released).Msg("placement decision")
+	return err
+}
+
+// put writes n on the condition that p is in force and returns its epoch.
+func (c *Controller) put(ctx context.Context, p, n state.Placement) (int64, error) {
 	value, err := json.Marshal(n)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	version := p.Epoch
 	c.mu.Lock()
@@ -196,32 +220,28 @@
 	}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	epoch, err := c.Platform.Put(callCtx, "placement", c.Zone, value, version)
+	epoch, err := c.config.Platform.Put(callCtx, kindPlacement, c.config.Zone, value, version)
 	cancel()
 	if err == nil {
-		c.Apply(platform.Object{Kind: "placement", Name: c.Zone, Version: epoch, Value: value})
+		c.config.Apply(platform.Object{Kind: kindPlacement, Name: c.config.Zone, Version: epoch, Value: value})
 		c.mu.Lock()
 		c.absent = false
 		c.mu.Unlock()
-	} else if !platform.ErrUnavailable.Has(err) {
-		// After a conflict or a lost answer the object itself says what is in
-		// force.
-		o, readErr := c.read(ctx)
-		if readErr == nil && o.Version > p.Epoch {
-			var current state.Placement
-			if json.Unmarshal(o.Value, &current) == nil && samePlacement(current, n) {
-				epoch, err = o.Version, nil
-			}
-		}
+		return epoch, nil
 	}
-	entry := c.logger.Info()
-	if err != nil {
-		entry = c.logger.Warn().Err(err)
+	if platform.ErrUnavailable.Has(err) {
+		return 0, err
 	}
-	entry.Str("zone", c.Zone).Str("reason", reason).Int64("from_epoch", p.Epoch).Int64("epoch", epoch).
-		Strs("members", n.Members).Int("targets", len(n.Holders)).Int("moved", len(n.Previous)).
-		Bool("released", n.Released).Msg("placement decision")
-	return err
+	// After a conflict or a lost answer the object itself says what is in
+	// force.
+	o, readErr := c.read(ctx)
+	if readErr == nil && o.Version > p.Epoch {
+		var current state.Placement
+		if json.Unmarshal(o.Value, &current) == nil && samePlacement(current, n) {
+			return o.Version, nil
+		}
+	}
+	return epoch, err
 }
 
 func samePlacement(a, b state.Placement) bool {
--- a/internal/placement/evidence.go
+++ b/internal/placement/evidence.go
@@ -98,7 +98,7 @@
 	if holder == self && t.Zone == selfZone {
 		if !mayStart(p, e, self, target, now) {
 			previous := p.Previous[target]
-			if takesOver(snap, e, self, t, previous, now) {
+			if mayStandIn(snap, e, self, t, previous, now) {
 				return Right{Kind: Provisional, Until: now.Add(LeaseTerm), Holder: self}
 			}
 			return Right{Holder: previous}
@@ -115,15 +115,15 @@
 		return Right{Holder: holder}
 	}
 	next := standIn(snap, self, selfZone, t.Zone, holder, target)
-	if next == self && holder != "" && takesOver(snap, e, self, t, holder, now) {
+	if next == self && holder != "" && mayStandIn(snap, e, self, t, holder, now) {
 		return Right{Kind: Provisional, Until: now.Add(LeaseTerm), Holder: self}
 	}
 	return Right{Holder: next}
 }
 
-// takesOver reports whether self may serve the target in place of a holder
+// mayStandIn reports whether self may serve the target in place of a holder
 // that is unreachable and that is itself provisional by now.
-func takesOver(snap *state.Snapshot, e *Evidence, self string, t state.Target, holder string, now time.Time) bool {
+func mayStandIn(snap *state.Snapshot, e *Evidence, self string, t state.Target, holder string, now time.Time) bool {
 	return holder != "" && holder != self && !reachable(snap, self, holder) &&
 		!now.Before(e.Granted[holder].Add(LeaseTerm)) && reportedWarm(e, holder, t)
 }
--- a/internal/placement/handover.go
+++ b/internal/placement/handover.go
@@ -15,13 +15,13 @@
 // releaseMoved releases the targets that the placement moved away from this
 // instance, as soon as they are idle, and hands their state over.
 func (c *Controller) releaseMoved(ctx context.Context, calls *sync.WaitGroup, snap *state.Snapshot) {
-	p := snap.Placements[c.Zone]
+	p := snap.Placements[c.config.Zone]
 	for target, previous := range p.Previous {
-		if previous != c.Self || c.Rights.IsReleased(target, p.Epoch) || !c.Pool.Idle(target) {
+		if previous != c.config.Self || c.config.Rights.IsReleased(target, p.Epoch) || !c.config.Pool.Idle(target) {
 			continue
 		}
-		load := c.Pool.Release(target)
-		c.Rights.MarkReleased(target, p.Epoch)
+		load := c.config.Pool.Release(target)
+		c.config.Rights.MarkReleased(target, p.Epoch)
 		to := p.Holders[target]
 		c.logger.Info().Str("target", target).Str("to", to).Int64("epoch", p.Epoch).
 			Str("phase", string(load.Phase)).Str("reason", "placement moved it and it is idle").Msg("target released")
@@ -46,11 +46,11 @@
 func (c *Controller) handOver(ctx context.Context, to string, epoch int64, load state.Load) {
 	ctx, cancel := context.WithTimeout(ctx, 2*LeaseTerm)
 	defer cancel()
-	for c.Store.Load().Placements[c.Zone].Epoch == epoch && ctx.Err() == nil {
-		if i, ok := c.Store.Load().Instances[to]; ok {
+	for c.config.Store.Load().Placements[c.config.Zone].Epoch == epoch && ctx.Err() == nil {
+		if i, ok := c.config.Store.Load().Instances[to]; ok {
 			callCtx, done := context.WithTimeout(ctx, callTimeout)
-			reply, err := c.Peers.Client(i.PeerAddress).Handover(callCtx, &peerpb.HandoverRequest{
-				From: c.Self, Zone: c.Zone, Epoch: epoch, Targets: []*peerpb.TargetLoad{peer.EncodeLoad(load)},
+			reply, err := c.config.Peers.Client(i.PeerAddress).Handover(callCtx, &peerpb.HandoverRequest{
+				From: c.config.Self, Zone: c.config.Zone, Epoch: epoch, Targets: []*peerpb.TargetLoad{peer.EncodeLoad(load)},
 			})
 			done()
 			if err == nil && reply.Accepted {
@@ -69,13 +69,13 @@
 // Handover takes over targets that their previous holder released. It accepts
 // only at the local epoch; the sender repeats it until then.
 func (c *Controller) Handover(_ context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
-	p := c.Store.Load().Placements[c.Zone]
-	if req.Zone != c.Zone || req.Epoch != p.Epoch {
+	p := c.config.Store.Load().Placements[c.config.Zone]
+	if req.Zone != c.config.Zone || req.Epoch != p.Epoch {
 		return &peerpb.HandoverReply{}, nil
 	}
 	for _, m := range req.Targets {
 		load := peer.DecodeLoad(m)
-		if p.Holders[load.Target] != c.Self || p.Previous[load.Target] != req.From {
+		if p.Holders[load.Target] != c.config.Self || p.Previous[load.Target] != req.From {
 			continue
 		}
 		// A repeated message must not overwrite the state that this holder
@@ -88,9 +88,9 @@
 			continue
 		}
 		if load.Phase != "" {
-			c.Pool.Adopt(load)
+			c.config.Pool.Adopt(load)
 		}
-		c.Rights.ObserveHandover(load.Target, p.Epoch)
+		c.config.Rights.ObserveHandover(load.Target, p.Epoch)
 		c.logger.Info().Str("target", load.Target).Str("from", req.From).Int64("epoch", p.Epoch).
 			Str("phase", string(load.Phase)).Str("reason", "previous holder released it").Msg("target taken over")
 	}
@@ -111,8 +111,8 @@
 			break
 		}
 		if err == nil {
-			p := c.Store.Load().Placements[c.Zone]
-			if p.Epoch >= o.Version && !slices.Contains(p.Members, c.Self) {
+			p := c.config.Store.Load().Placements[c.config.Zone]
+			if p.Epoch >= o.Version && !slices.Contains(p.Members, c.config.Self) {
 				break
 			}
 			if p.Epoch == o.Version {
@@ -134,33 +134,33 @@
 
 // leave writes the placement without this instance when that is possible.
 func (c *Controller) leave(ctx context.Context, p state.Placement) {
-	snap := c.Store.Load()
-	c.Rights.ObserveAdopted(p.Epoch, time.Now())
-	n := next(p, c.Zone, without(p.Members, c.Self), zoneTargets(snap, c.Zone))
+	snap := c.config.Store.Load()
+	c.config.Rights.ObserveAdopted(p.Epoch, time.Now())
+	n := nextPlacement(p, c.config.Zone, without(p.Members, c.config.Self), zoneTargets(snap, c.config.Zone))
 	reason := "instance stops"
 	if len(n.Members) == 0 {
 		reason = "last instance stops"
-		n = state.Placement{Zone: c.Zone, Released: true}
+		n = state.Placement{Zone: c.config.Zone, Released: true}
 		// The right ends first: whoever takes a released placement starts at
 		// once.
-		c.Rights.Close()
+		c.config.Rights.Close()
 		for t := range p.Holders {
-			if !c.Pool.Idle(t) {
+			if !c.config.Pool.Idle(t) {
 				sleep(ctx, reconcileEvery/2)
 				return
 			}
 		}
 	}
-	if !settled(p, c.Rights.Evidence(), c.Self, time.Now()) || c.write(ctx, p, n, reason) != nil {
+	if !settled(p, c.config.Rights.Evidence(), c.config.Self, time.Now()) || c.write(ctx, p, n, reason) != nil {
 		sleep(ctx, reconcileEvery)
 	}
 }
 
 // handedOver reports whether nothing that moved away is left here.
 func (c *Controller) handedOver() bool {
-	p := c.Store.Load().Placements[c.Zone]
+	p := c.config.Store.Load().Placements[c.config.Zone]
 	for target, previous := range p.Previous {
-		if previous == c.Self && !c.Rights.IsReleased(target, p.Epoch) {
+		if previous == c.config.Self && !c.config.Rights.IsReleased(target, p.Epoch) {
 			return false
 		}
 	}
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -74,7 +74,7 @@
 	for _, target := range leaseTargets {
 		m.until[target] = map[string]time.Duration{}
 	}
-	m.placement = next(state.Placement{}, "z", []string{"a", "b", "c"}, leaseTargets)
+	m.placement = nextPlacement(state.Placement{}, "z", []string{"a", "b", "c"}, leaseTargets)
 	m.placement.Epoch = 1
 	return m
 }
@@ -185,7 +185,7 @@
 	if rapid.IntRange(0, 5).Draw(t, "drop") == 0 {
 		targets = targets[1:]
 	}
-	changed := next(p, "z", members, targets)
+	changed := nextPlacement(p, "z", members, targets)
 	changed.Epoch = p.Epoch + 1
 	m.placement = changed
 	m.moves += len(changed.Previous)
@@ -243,7 +243,7 @@
 		}
 	}
 	slices.Sort(members)
-	m.placement = takeover(p, "z", members, leaseTargets)
+	m.placement = takeoverPlacement(p, "z", members, leaseTargets)
 	m.placement.Epoch = p.Epoch + 1
 	if rapid.Bool().Draw(t, "answered") {
 		m.adopt(n, m.placement)
--- a/internal/placement/orphan.go
+++ b/internal/placement/orphan.go
@@ -64,12 +64,12 @@
 	return !w.since.At.IsZero() && w.since.Epoch == p.Epoch && now.Sub(w.since.At) >= orphanDelay
 }
 
-// takeover returns the placement that follows p with members of which none is
+// takeoverPlacement returns the placement that follows p with members of which none is
 // a member of p. It names no previous members, since none is expected to say
 // when it left p, and it carries the moves of p on, since nobody can tell
 // whether they have ended.
-func takeover(p state.Placement, zone string, members, targets []string) state.Placement {
-	n := next(p, zone, members, targets)
+func takeoverPlacement(p state.Placement, zone string, members, targets []string) state.Placement {
+	n := nextPlacement(p, zone, members, targets)
 	n.PreviousMembers = nil
 	for t, holder := range p.Previous {
 		if n.Previous[t] == "" && n.Holders[t] != holder {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -61,9 +61,9 @@
 		note(pl.up, name, isUp, now)
 		note(pl.down, name, isDown, now)
 	}
-	known := func(name string, _ time.Time) bool { return !slices.Contains(names, name) && name != pl.self }
-	maps.DeleteFunc(pl.up, known)
-	maps.DeleteFunc(pl.down, known)
+	unknown := func(name string, _ time.Time) bool { return !slices.Contains(names, name) && name != pl.self }
+	maps.DeleteFunc(pl.up, unknown)
+	maps.DeleteFunc(pl.down, unknown)
 }
 
 func note(since map[string]time.Time, name string, holds bool, now time.Time) {
@@ -147,8 +147,8 @@
 	return now.Sub(pl.dirty) >= time.Duration(rank)*rankDelay
 }
 
-// next returns the placement that follows p with other members or targets.
-func next(p state.Placement, zone string, members, targets []string) state.Placement {
+// nextPlacement returns the placement that follows p with other members or targets.
+func nextPlacement(p state.Placement, zone string, members, targets []string) state.Placement {
 	n := state.Placement{Zone: zone, Members: members, Holders: Assign(members, targets)}
 	if p.Epoch == 0 || p.Released {
 		return n
