Test what restarts the delay of a takeover

Cause: the tests of the takeover covered an outage of the platform, but not a pause, a new epoch, a member that answers, or an instance that has not moved to the epoch.

Change: TestOrphanDelayRestarts on the planner.

Measured: without the reset after a pause, the comparison of the epoch, the age of the read, or the check of previous members (one at a time, on a scratch copy), the test fails; it passes on the code.

Conclusion: each condition of the takeover has a test that needs it.

--- a/internal/placement/rights_test.go
+++ b/internal/placement/rights_test.go
@@ -120,3 +120,49 @@
 		t.Errorf("the majority has %d members after 2 s", got)
 	}
 }
+
+// Guards against a takeover that counts time from before a pause, an outage, a
+// new epoch, a member that answered, or an instance at the epoch before.
+func TestOrphanDelayRestarts(t *testing.T) {
+	p := state.Placement{Zone: "z", Epoch: 5, Members: []string{"a", "b"}, PreviousMembers: []string{"a", "x"}}
+	e := &Evidence{Seen: map[string]Mark{"x": {Epoch: 4}}}
+	snap, pl, now := &state.Snapshot{Instances: map[string]state.Instance{}}, newPlanner("d", "z"), time.Unix(1000, 0)
+	step := func(answeredAt time.Time) {
+		e.Platform = Mark{p.Epoch, answeredAt}
+		pl.observe(snap, p, true, now)
+		pl.observeEvidence(p, e, now)
+	}
+	expect := func(what string, after time.Duration, want bool) {
+		t.Helper()
+		for end := now.Add(after); now.Before(end); {
+			now = now.Add(reconcileEvery)
+			step(now)
+		}
+		if _, reason := pl.members(p, now); (reason == reasonOrphaned) != want {
+			t.Errorf("%s: taken over: %v after %v", what, !want, after)
+		}
+	}
+	alive := func(name string) func() {
+		return func() {
+			snap.Instances[name] = state.Instance{Name: name, Zone: "z", Liveness: state.Alive}
+			step(now)
+			delete(snap.Instances, name)
+		}
+	}
+	step(now)
+	for what, disturb := range map[string]func(){
+		"pause":              func() { now = now.Add(time.Minute) },
+		"outage":             func() { step(now.Add(-orphanReadAge - time.Second)) },
+		"epoch":              func() { p.Epoch++ },
+		"member answered":    alive("b"),
+		"instance is behind": alive("x"),
+	} {
+		expect(what, orphanDelay+reconcileEvery, true)
+		disturb()
+		expect(what, orphanDelay-time.Second, false)
+	}
+	e.Seen["x"] = Mark{Epoch: p.Epoch}
+	expect("undisturbed", 2*time.Second, true)
+	alive("x")()
+	expect("instance is at the epoch", reconcileEvery, true)
+}
