--- a/internal/placement/evidence.go
+++ b/internal/placement/evidence.go
@@ -98,7 +98,7 @@
 	if holder == self && t.Zone == selfZone {
 		if !mayStart(p, e, self, target, now) {
 			previous := p.Previous[target]
-			if takesOver(snap, e, self, t, previous, now) {
+			if mayStandIn(snap, e, self, t, previous, now) {
 				return Right{Kind: Provisional, Until: now.Add(LeaseTerm), Holder: self}
 			}
 			return Right{Holder: previous}
@@ -115,15 +115,15 @@
 		return Right{Holder: holder}
 	}
 	next := standIn(snap, self, selfZone, t.Zone, holder, target)
-	if next == self && holder != "" && takesOver(snap, e, self, t, holder, now) {
+	if next == self && holder != "" && mayStandIn(snap, e, self, t, holder, now) {
 		return Right{Kind: Provisional, Until: now.Add(LeaseTerm), Holder: self}
 	}
 	return Right{Holder: next}
 }
 
-// takesOver reports whether self may serve the target in place of a holder
+// mayStandIn reports whether self may serve the target in place of a holder
 // that is unreachable and that is itself provisional by now.
-func takesOver(snap *state.Snapshot, e *Evidence, self string, t state.Target, holder string, now time.Time) bool {
+func mayStandIn(snap *state.Snapshot, e *Evidence, self string, t state.Target, holder string, now time.Time) bool {
 	return holder != "" && holder != self && !reachable(snap, self, holder) &&
 		!now.Before(e.Granted[holder].Add(LeaseTerm)) && reportedWarm(e, holder, t)
 }
@@ -176,22 +176,30 @@
 // placement moved, because its previous holder released it or because the
 // previous holder's lease has run out.
 func mayStart(p state.Placement, e *Evidence, self, target string, now time.Time) bool {
+	const wait = LeaseTerm + MaxClockError
 	previous, moved := p.Previous[target]
 	if !moved || p.Epoch == 0 {
 		return true
 	}
+	waited := e.Adopted.Epoch == p.Epoch && !now.Before(e.Adopted.At.Add(wait))
+	if len(p.PreviousMembers) == 0 {
+		// After a takeover, no previous member says when it moved, and only
+		// reads and grants from before the write can confirm one of them. The
+		// release by the previous holder is not enough, because the move to
+		// that holder may not have ended.
+		return waited
+	}
 	if e.Released[target] == p.Epoch {
 		return true
 	}
 	if e.Adopted.Epoch != p.Epoch {
 		return false
 	}
-	const wait = LeaseTerm + MaxClockError
 	others := without(p.PreviousMembers, previous)
 	if len(others) == 0 {
 		// A single member was confirmed by the platform only, which this
 		// epoch ended when it was written.
-		return !now.Before(e.Adopted.At.Add(wait))
+		return waited
 	}
 	for _, m := range others {
 		moved := e.Seen[m]
