Count a cold arrival by what its sender could know when it came

Cause: the target stand-in waits up to 3 ms for the end of a cancelled request before it judges an arrival above the limit, and gives up its lock meanwhile. Of three arrivals at once on a target that had just restarted, the second was counted as unwarned and the third, which had waited beside it, as a violation after a warning that it could not have seen. Change: the warning state is taken before the wait. The arrival is still counted, as unwarned.

--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -55,6 +55,9 @@
 		t.warned = true
 		return "shed"
 	}
+	// Another arrival may be refused during the wait; the sender of this one
+	// could not know of it.
+	warned := t.warned
 	if over := t.running + 1 - t.limitLocked(now); over > 0 {
 		t.awaitCancelledLocked(int64(over))
 		now = time.Now()
@@ -72,7 +75,7 @@
 		return ""
 	}
 	if cold {
-		if t.warned {
+		if warned {
 			t.counts.ColdViolations++
 		} else {
 			t.counts.UnwarnedViolations++
