--- a/standin/harness/load.go
+++ b/standin/harness/load.go
@@ -23,7 +23,10 @@
 	MaxInFlight int
 	// ItemsPerShard is what each shard finds.
 	ItemsPerShard int
-	Seed          uint64
+	// Shards gives the number of shards by index snapshot, for those that do
+	// not have one shard per service.
+	Shards map[string]int
+	Seed   uint64
 }
 
 // OutcomeNotSent is an arrival above Load.MaxInFlight.
@@ -138,7 +141,11 @@
 	} else {
 		res.Partial++
 	}
-	res.Faults.Check(l.Search, l.ItemsPerShard, query, r)
+	s := l.Search
+	if n := l.Shards[r.Snapshot]; n > 0 {
+		s.Services = make([]string, n)
+	}
+	res.Faults.Check(s, l.ItemsPerShard, query, r)
 }
 
 // Check compares an answer with what the stand-ins hold: each shard finds the
