Confirm a stale state before the holder sends; weigh replicas by seen latency

The dispatcher now confirms a stale state first and refuses a request whose process was paused while it waited.

Replica choice: the cost divided the latency of an idle replica by its slots and added the zone delay on top, so a slow replica of the own zone was still chosen (70 cancelled attempts in 300 searches). The cost is now the latency seen by the entry within 3 s plus the wait behind excess requests.

Exploration: a replica that answers slowly while cold got no work beside a warm one and stayed cold. An entry now prefers a cold replica once a second.

The quantile of a single service needs 200 samples, of all searches 50: three stragglers in 50 samples put the delay among the stragglers.

--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -68,6 +68,16 @@
 // also while no request asks.
 func (f *Freshness) CutOff() bool { return f.Age() > freshFor }
 
+// Stale reports whether the state is too old and nobody was asked lately. It
+// is true after a pause until Ensure ran, and false while the instance is known
+// to be cut off and goes on with its last state.
+func (f *Freshness) Stale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	return now.Sub(f.confirmed) > freshFor && !(f.cutOff && now.Sub(f.lastAttempt) <= freshFor)
+}
+
 // Ensure returns at once when the state is fresh. Otherwise it waits for one
 // refresh that all requests share, and reports whether the instance is cut
 // off. While the instance stays cut off, refreshes run in the background, so
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,16 @@
 	Right(target string, now time.Time) Right
 }
 
+// Freshness says whether the state of this instance was confirmed lately.
+// control.Freshness implements it.
+type Freshness interface {
+	// Ensure asks for a confirmation if the state is too old.
+	Ensure(ctx context.Context) (cutOff bool)
+	// Stale reports that the state is too old and nobody was asked yet. A
+	// process that wakes from a pause may have missed that a zone was taken out.
+	Stale() bool
+}
+
 // Pool sends to targets within their limits; target.Pool implements it.
 type Pool interface {
 	Do(ctx context.Context, t state.Target, svc declare.Service, w target.Work, admit target.Admit) outcome.Result
@@ -57,6 +67,7 @@
 	log     *log.Logger
 	self    string
 	store   *state.Store
+	fresh   Freshness
 	rights  Rights
 	pool    Pool
 	metrics *metrics
@@ -64,11 +75,11 @@
 
 // NewDispatcher returns a Dispatcher of the instance named self. A nil logger
 // is silent; a nil scope drops the metrics.
-func NewDispatcher(logger *log.Logger, scope tally.Scope, self string, store *state.Store, rights Rights, pool Pool) *Dispatcher {
+func NewDispatcher(logger *log.Logger, scope tally.Scope, self string, store *state.Store, fresh Freshness, rights Rights, pool Pool) *Dispatcher {
 	if logger == nil {
 		logger = &log.Logger{Level: log.PanicLevel + 1}
 	}
-	return &Dispatcher{log: logger, self: self, store: store, rights: rights, pool: pool, metrics: newMetrics(scope)}
+	return &Dispatcher{log: logger, self: self, store: store, fresh: fresh, rights: rights, pool: pool, metrics: newMetrics(scope)}
 }
 
 // Execute runs one sub-request. The reply always has an outcome; refusals with
@@ -102,6 +113,7 @@
 		(req.Operation != target.OperationSearch && req.Operation != target.OperationExecute) {
 		return outcome.Result{Code: outcome.Invalid, Reason: outcome.ReasonMalformed}, ""
 	}
+	d.fresh.Ensure(ctx)
 	snap := d.store.Load()
 	t, ok := snap.Targets[req.Target]
 	if !ok {
@@ -157,6 +169,10 @@
 	if !deadline.After(now) {
 		return Right{}, outcome.ReasonExpired
 	}
+	if d.fresh.Stale() {
+		// The pause came after Ensure; the entry asks again.
+		return Right{}, outcome.ReasonNoRight
+	}
 	snap := d.store.Load()
 	present, ok := snap.Targets[t.Name]
 	switch {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -49,6 +49,8 @@
 			if d, ok := s.g.hedgeDelay(sh.plan.Service, now); ok && sh.hedgeWaits < maxHedgeWaits {
 				sh.hedgeWaits++
 				sh.hedgeAt = now.Add(d)
+				s.g.logger.Debug().Str("request_id", s.q.RequestID).Str("shard", sh.plan.Shard).
+					Str("target", c.Target).Str("reason", why).Dur("wait", d).Msg("hedge put off")
 			} else {
 				s.logRefused(i, "hedge", c, why)
 			}
--- a/internal/gateway/latency.go
+++ b/internal/gateway/latency.go
@@ -15,12 +15,17 @@
 	quantileLife = 50 * time.Millisecond
 	// minSamples is the number of samples below which no quantile is given.
 	minSamples = 50
+	// minServiceSamples is minSamples for one service, which has the quantile of
+	// all services to fall back on. With 50 samples, three stragglers would put
+	// the 95th percentile among them.
+	minServiceSamples = 200
 )
 
 // Latency is a histogram of the latencies of the last 16 s. Record and P95
 // are lock-free. A sample that arrives while its window is being recycled may
 // be lost.
 type Latency struct {
+	minSamples uint64 // zero means the constant minSamples
 	windows [latencyWindows]latencyWindow
 	cached  atomic.Int64 // microseconds, -1 for too few samples
 	until   atomic.Int64 // Unix nanoseconds
@@ -85,7 +90,7 @@
 			total += n
 		}
 	}
-	if total < minSamples {
+	if total < max(l.minSamples, minSamples) {
 		return -1
 	}
 	rank := (total*percent + 99) / 100
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -179,8 +179,9 @@
 	slices.Reverse(c)
 }
 
-// choice computes the expected time to an answer: requests ahead and this one,
-// times smoothed latency, over the limit, plus the delay to the zone.
+// choice computes the expected time to an answer: the latency that this entry
+// saw, or else the one that the holder reports plus the delay to the zone, and
+// the wait behind the requests that exceed the limit.
 func (p *planner) choice(r replica) Choice {
 	obs := p.in.Observed.Targets[r.target.Name]
 	load, known := p.in.Snapshot.Loads[r.target.Name]
@@ -193,21 +194,29 @@
 	limit := max(load.Limit, 1)
 	// The reported load lags, so the own requests in flight are a lower bound.
 	ahead := max(load.InFlight+load.Queued, obs.InFlight) + p.planned[r.target.Name]
-	latency := cmp.Or(load.LatencyMicros, obs.LatencyMicros, defaultLatencyMicros)
+	service := cmp.Or(load.LatencyMicros, defaultLatencyMicros)
+	latency := obs.LatencyMicros
+	if latency == 0 {
+		latency = service
+		if r.target.Zone != p.in.Zone {
+			latency += p.in.Policy.ZoneDelay.Microseconds()
+		}
+	}
+	waiting := int64(max(ahead+1-limit, 0))
 	c := Choice{
 		Target: r.target.Name, Instance: r.instance,
-		CostMicros: int64(ahead+1) * latency / int64(limit),
+		CostMicros: latency + waiting*service/int64(limit),
 		Backlogged: load.Queued > r.slots,
 	}
-	if r.target.Zone != p.in.Zone {
-		c.CostMicros += p.in.Policy.ZoneDelay.Microseconds()
-	}
 	switch load.Phase {
 	case state.PhaseEjected:
 		c.Tier = 2
 	case state.PhaseCold, state.PhaseWarming:
-		if ahead >= limit {
+		switch {
+		case ahead >= limit:
 			c.Tier = 1
+		case obs.Explore:
+			c.CostMicros = 0
 		}
 	}
 	return c
--- a/internal/gateway/plan_test.go
+++ b/internal/gateway/plan_test.go
@@ -60,6 +60,17 @@
 			})
 			in.Observed.Targets = map[string]TargetObservation{"s0-a": {InFlight: 1}}
 		}, "s0-b s0-a"},
+		"cold replica when it is time to try it": {func(s *state.Store, in *PlanInput) {
+			setLoad(s, load("s0-b", state.PhaseCold, 1, 0))
+			in.Observed.Targets = map[string]TargetObservation{"s0-b": {Explore: true, LatencyMicros: 500_000}}
+		}, "s0-b s0-a"},
+		"cold replica at its limit is not tried": {func(s *state.Store, in *PlanInput) {
+			setLoad(s, load("s0-b", state.PhaseCold, 1, 1))
+			in.Observed.Targets = map[string]TargetObservation{"s0-b": {Explore: true}}
+		}, "s0-a s0-b"},
+		"slow replica of the own zone": {func(_ *state.Store, in *PlanInput) {
+			in.Observed.Targets = map[string]TargetObservation{"s0-a": {LatencyMicros: 100_000}, "s0-b": {LatencyMicros: 15_000}}
+		}, "s0-b s0-a"},
 		"no holder": {func(_ *state.Store, in *PlanInput) { delete(in.Routes, "s0-a") }, "s0-b"},
 		"round-robin": {func(_ *state.Store, in *PlanInput) {
 			in.Policy.ReplicaChoice, in.Observed.Turn = ChooseRoundRobin, 1
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -12,6 +12,14 @@
 	// replyLoadLife is how long a load that came with a reply replaces the
 	// one in the snapshot, which lags by up to a few heartbeats.
 	replyLoadLife = 500 * time.Millisecond
+	// latencyLife is how long the latency seen by this entry counts. After it
+	// the one that the holder reports is used, so that a replica which was slow
+	// once is tried again.
+	latencyLife = 3 * time.Second
+	// exploreInterval is how often an entry prefers a cold replica to a warm one.
+	// Without it a replica that answers slowly while cold never gets the
+	// requests that warm it.
+	exploreInterval = time.Second
 	// lackingLife is how long a replica is known to lack an index snapshot.
 	lackingLife = 5 * time.Second
 )
@@ -31,6 +39,8 @@
 type targetStats struct {
 	inFlight atomic.Int64
 	micros   atomic.Int64 // smoothed latency
+	seen     atomic.Int64 // Unix nanoseconds of the last sample
+	explored atomic.Int64 // Unix nanoseconds of the last plan that preferred it while cold
 	load     atomic.Pointer[timedLoad]
 }
 
@@ -43,7 +53,7 @@
 	if v, ok := s.services.Load(name); ok {
 		return v.(*Latency)
 	}
-	v, _ := s.services.LoadOrStore(name, &Latency{})
+	v, _ := s.services.LoadOrStore(name, &Latency{minSamples: minServiceSamples})
 	return v.(*Latency)
 }
 
@@ -73,8 +83,25 @@
 	return v.(*targetStats)
 }
 
+// explore reports whether it is time to try the cold target, once per interval.
+func (t *targetStats) explore(now time.Time) bool {
+	last := t.explored.Load()
+	return now.UnixNano()-last >= int64(exploreInterval) && t.explored.CompareAndSwap(last, now.UnixNano())
+}
+
+// isCold reports whether the last known load of the target says that it is
+// cold or warming.
+func isCold(snap *state.Snapshot, obs TargetObservation, t state.Target) bool {
+	load := snap.Loads[t.Name]
+	if obs.Load != nil {
+		load = *obs.Load
+	}
+	return load.Incarnation == t.Incarnation && (load.Phase == state.PhaseCold || load.Phase == state.PhaseWarming)
+}
+
 // smooth moves the average by an eighth towards the new latency.
-func (t *targetStats) smooth(d time.Duration) {
+func (t *targetStats) smooth(now time.Time, d time.Duration) {
+	t.seen.Store(now.UnixNano())
 	for {
 		old := t.micros.Load()
 		next := max(d.Microseconds(), 1)
@@ -97,6 +124,8 @@
 	LatencyMicros int64 `json:"latency_micros,omitempty"`
 	// Load came with a recent reply and replaces the one in the snapshot.
 	Load *state.Load `json:"load,omitempty"`
+	// Explore is set if it is time to try the replica while it is cold.
+	Explore bool `json:"explore,omitempty"`
 	// Lacks are the index snapshots that the target does not have.
 	Lacks []string `json:"lacks,omitempty"`
 }
@@ -114,10 +143,14 @@
 	for service := range services {
 		for _, r := range v.byService[service] {
 			t := s.target(r.target.Name)
-			obs := TargetObservation{InFlight: int(t.inFlight.Load()), LatencyMicros: t.micros.Load()}
+			obs := TargetObservation{InFlight: int(t.inFlight.Load())}
+			if now.UnixNano()-t.seen.Load() < int64(latencyLife) {
+				obs.LatencyMicros = t.micros.Load()
+			}
 			if l := t.load.Load(); l != nil && now.Sub(l.at) < replyLoadLife && l.load.Incarnation == r.target.Incarnation {
 				obs.Load = &l.load
 			}
+			obs.Explore = isCold(v.snap, obs, r.target) && t.explore(now)
 			o.Targets[r.target.Name] = obs
 		}
 	}
