--- a/internal/gateway/latency.go
+++ b/internal/gateway/latency.go
@@ -26,9 +26,9 @@
 // be lost.
 type Latency struct {
 	minSamples uint64 // zero means the constant minSamples
-	windows [latencyWindows]latencyWindow
-	cached  atomic.Int64 // microseconds, -1 for too few samples
-	until   atomic.Int64 // Unix nanoseconds
+	windows    [latencyWindows]latencyWindow
+	cached     atomic.Int64 // microseconds, -1 for too few samples
+	until      atomic.Int64 // Unix nanoseconds
 }
 
 type latencyWindow struct {
--- a/standin/failures/zone_test.go
+++ b/standin/failures/zone_test.go
@@ -1,3 +1,5 @@
+//go:build failures
+
 package failures
 
 import (
