Check keys in one place and refuse to issue one while stopping

Cause: api and once each had their own rule for keys, and a stopping instance answered POST /v1/keys with an empty key. Change: the API calls once.CheckKey and refuses with 503 draining. Measured: package tests pass; the refusal has no test of its own.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -50,7 +50,7 @@
 }
 
 func (f *fakeBackend) Settle(context.Context, string) outcome.Result { return f.result }
-func (f *fakeBackend) IssueKey() string                              { return "i1.k1" }
+func (f *fakeBackend) IssueKey() (string, bool)                      { return "i1.k1", true }
 func (f *fakeBackend) Ensure(context.Context) bool                   { return false }
 func (f *fakeBackend) Status() status.Document {
 	return status.Document{Instance: "i1", State: f.state, CutOff: true}
--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -103,9 +103,14 @@
 			return
 		}
 	}
+	key, ok := s.once.IssueKey()
+	if !ok {
+		s.refuse(c, http.StatusServiceUnavailable, "", refusal{outcome.ReasonDraining, "the instance stops"})
+		return
+	}
 	writeJSON(c, http.StatusOK, struct {
 		Key string `json:"key"`
-	}{s.once.IssueKey()})
+	}{key})
 }
 
 func (s *Server) settle(ctx context.Context, c *app.RequestContext) {
--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/baobabsill/baobabsill/internal/once"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 )
 
@@ -22,8 +23,6 @@
 	message string
 }
 
-// maxKeyLength bounds the keys of at-most-once requests.
-const maxKeyLength = 200
 
 // decode reads the body of a request strictly. The result shares no memory
 // with the request, whose buffers are reused after the handler returned.
@@ -90,21 +89,13 @@
 	return received.Add(time.Duration(*ms) * time.Millisecond), nil
 }
 
-// checkKey refuses keys that cannot be part of a path.
+// checkKey refuses keys that the manager would refuse, with the reason in words.
 func checkKey(key string) *refusal {
 	if key == "" {
 		return &refusal{outcome.ReasonMalformed, "key is missing"}
 	}
-	if len(key) > maxKeyLength {
-		return &refusal{outcome.ReasonMalformed, fmt.Sprintf("key is longer than %d bytes", maxKeyLength)}
-	}
-	for i := range len(key) {
-		switch ch := key[i]; {
-		case ch >= 'a' && ch <= 'z', ch >= 'A' && ch <= 'Z', ch >= '0' && ch <= '9':
-		case ch == '.', ch == '_', ch == '-', ch == ':', ch == '~', ch == '@', ch == '+', ch == '=':
-		default:
-			return &refusal{outcome.ReasonMalformed, "key may only contain letters, digits and ._-:~@+="}
-		}
+	if err := once.CheckKey(key); err != nil {
+		return &refusal{outcome.ReasonMalformed, err.Error()}
 	}
 	return nil
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -30,8 +30,8 @@
 type Once interface {
 	Run(ctx context.Context, key, operation string, body []byte, deadline time.Time, requestID string) outcome.Result
 	Settle(ctx context.Context, key string) outcome.Result
-	// IssueKey returns a key that names this instance.
-	IssueKey() string
+	// IssueKey returns a key that names this instance, or false while it stops.
+	IssueKey() (string, bool)
 }
 
 // StatusSource gives the view of the instance.
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -23,11 +23,8 @@
 	return o.manager.Settle(ctx, key)
 }
 
-// IssueKey returns a key that names this instance.
-func (o onceAPI) IssueKey() string {
-	key, _ := o.manager.IssueKey()
-	return key
-}
+// IssueKey returns a key that names this instance, or false while it stops.
+func (o onceAPI) IssueKey() (string, bool) { return o.manager.IssueKey() }
 
 // dispatchRights fits the placement's rights to the dispatcher.
 type dispatchRights struct{ rights *placement.Rights }
--- a/internal/once/key.go
+++ b/internal/once/key.go
@@ -56,8 +56,8 @@
 	}, true
 }
 
-// checkKey refuses keys that cannot be an object name.
-func checkKey(key string) error {
+// CheckKey refuses keys that cannot be an object name.
+func CheckKey(key string) error {
 	if key == "" || len(key) > MaxKeyBytes {
 		return fmt.Errorf("key must have 1 to %d bytes, has %d", MaxKeyBytes, len(key))
 	}
@@ -65,7 +65,7 @@
 		ok := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' ||
 			strings.ContainsRune(keyPunctuation, r)
 		if !ok {
-			return fmt.Errorf("key has the character %q; letters, digits and %s are allowed", r, keyPunctuation)
+			return fmt.Errorf("key may only contain letters, digits and %s, not %q", keyPunctuation, r)
 		}
 	}
 	return nil
--- a/internal/once/manager.go
+++ b/internal/once/manager.go
@@ -98,7 +98,7 @@
 // The request is not cancelled with ctx once it was handed to a target,
 // because a cancelled request has an unknown outcome; its deadline ends it.
 func (m *Manager) Run(ctx context.Context, req Request) outcome.Result {
-	if err := checkKey(req.Key); err != nil {
+	if err := CheckKey(req.Key); err != nil {
 		return outcome.Result{Code: outcome.Invalid, Reason: outcome.ReasonMalformed}
 	}
 	if _, ok := m.store.Load().Operation(req.Operation); !ok {
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -13,7 +13,7 @@
 // Unknown with reason not-found if no process has claimed or run the key;
 // sending the request with that key is safe then.
 func (m *Manager) Settle(ctx context.Context, key string) outcome.Result {
-	if err := checkKey(key); err != nil {
+	if err := CheckKey(key); err != nil {
 		return outcome.Result{Code: outcome.Invalid, Reason: outcome.ReasonMalformed}
 	}
 	if e := m.localEntry(key); e != nil {
