--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -23,7 +23,6 @@
 	message string
 }
 
-
 // decode reads the body of a request strictly. The result shares no memory
 // with the request, whose buffers are reused after the handler returned.
 func decode(c *app.RequestContext, into any) (int, *refusal) {
