Send versions in heartbeats only while they differ

Cause: with 24 instances an idle instance reads and writes 1,500 KB/s. Sizes of one question, measured with a counter in a scratch copy: 652 bytes with 3 instances (376 versions, 176 known instances, 93 the sender), 1437 with 8 (716, 625, 89) and 3977 with 24 (1818, 2063, 89). Answers have the same size. Loads are 0 on an idle instance. The versions grow with the number of instances because each has an object.

Change: heartbeats carry a 64-bit digest of all versions. The list is left out while the peer's last digest is the local one. A digest that differs without a list, as after a restart of a peer, leads to a fetch. State counts as confirmed only by an answer with the digest of the question or by a list without newer versions, as before.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -162,6 +162,9 @@
 	mu    sync.Mutex
 	nodes map[string]*node // by peer address
 	cut   map[string]bool  // instance names and "a-b" pairs
+	// The last heartbeat that was answered.
+	request *peerpb.ExchangeRequest
+	reply   *peerpb.ExchangeReply
 }
 
 type netPeers struct {
@@ -197,7 +200,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return n.members.Exchange(ctx, r)
+	reply, err := n.members.Exchange(ctx, r)
+	c.net.mu.Lock()
+	c.net.request, c.net.reply = r, reply
+	c.net.mu.Unlock()
+	return reply, err
 }
 
 func (c *netClient) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -73,6 +73,7 @@
 
 	mu       sync.Mutex
 	state    string
+	heard    map[string]heard // by peer address
 	members  map[string]*member
 	records  map[string]int64 // versions of the instance objects seen
 	lastTick time.Time
@@ -87,7 +88,7 @@
 	return &Membership{
 		logger: orDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
 		leases: leases, pool: pool, registry: registry, state: StateStarting,
-		members: map[string]*member{}, records: map[string]int64{},
+		members: map[string]*member{}, records: map[string]int64{}, heard: map[string]heard{},
 		selfAt:       map[string]bool{self.PeerAddress: true},
 		stateChanged: make(chan struct{}, 1),
 	}
@@ -166,8 +167,9 @@
 	ctx, cancel := context.WithTimeout(ctx, suspectAfter)
 	defer cancel()
 	epoch, _ := m.leases.Released()
+	versions, digest := m.sync.VersionsUnless(m.heardFrom(address).versions)
 	req := &peerpb.ExchangeRequest{
-		From: m.describe(), Versions: m.sync.Versions(), PlacementEpoch: epoch,
+		From: m.describe(), Versions: versions, VersionsDigest: digest, PlacementEpoch: epoch,
 		Loads: peer.EncodeLoads(m.pool.Loads()), Known: m.known(),
 		FreshAgeMs: m.freshAge(), ConfigInForce: m.store.Load().ConfigVersion,
 	}
@@ -188,16 +190,19 @@
 	if !m.learn(from, now, true, reply.ConfigInForce) {
 		return
 	}
+	m.hear(address, heard{versions: reply.VersionsDigest})
 	m.learnKnown(reply.Known, now)
 	if from.Zone == m.self.Zone {
 		m.leases.ObserveAnswer(from.Name, epoch, reply.Granted, sentAt)
 		m.leases.ObserveEpoch(from.Name, reply.PlacementEpoch, reply.Released, now)
 	}
 	m.takeLoads(from.Name, peer.DecodeLoads(reply.Loads), now)
-	behind := m.sync.Observe(address, reply.Versions)
+	// The same digest as in the question shows that nothing is newer, even if
+	// the local versions went up since.
+	behind := (digest == 0 || reply.VersionsDigest != digest) && m.sync.Observe(address, reply.Versions, reply.VersionsDigest)
 	if behind && fetch {
 		m.sync.fetch(ctx, address)
-		behind = m.sync.Observe(address, reply.Versions)
+		behind = m.sync.Observe(address, reply.Versions, reply.VersionsDigest)
 	}
 	if age := reply.FreshAgeMs; !behind && age >= 0 && age <= maxAge.Milliseconds() {
 		m.freshness.Confirm(sentAt.Add(-time.Duration(age) * time.Millisecond))
@@ -216,9 +221,9 @@
 			m.leases.ObserveEpoch(from.Name, req.PlacementEpoch, nil, now)
 		}
 		m.takeLoads(from.Name, peer.DecodeLoads(req.Loads), now)
-		m.sync.Observe(from.PeerAddress, req.Versions)
+		m.sync.Observe(from.PeerAddress, req.Versions, req.VersionsDigest)
 	}
-	reply.Versions = m.sync.Versions()
+	reply.Versions, reply.VersionsDigest = m.sync.VersionsUnless(req.VersionsDigest)
 	reply.PlacementEpoch, reply.Released = m.leases.Released()
 	reply.Loads = peer.EncodeLoads(m.pool.Loads())
 	reply.Known = m.known()
@@ -323,6 +328,7 @@
 		}
 		if p.suspect && (silent >= forgetAfter || p.State == StateDraining && silent >= suspectAfter) {
 			delete(m.members, name)
+			delete(m.heard, p.PeerAddress)
 		}
 	}
 	m.mu.Unlock()
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -51,6 +51,7 @@
 
 	mu      sync.Mutex
 	objects map[objectKey]platform.Object
+	digest  uint64 // of the versions in objects
 	// rejected holds versions that could not be decoded. They are neither
 	// used nor asked for again.
 	rejected map[objectKey]int64
@@ -92,6 +93,7 @@
 		return false
 	}
 	o.Value = slices.Clone(o.Value)
+	s.digest += versionHash(key, o.Version) - versionHash(key, s.objects[key].Version)
 	s.objects[key] = o
 	if f != nil {
 		s.store.Update(f)
@@ -152,33 +154,6 @@
 	return o.Deleted && o.Version > version
 }
 
-// Versions returns the versions of all known objects, for heartbeats.
-func (s *Sync) Versions() []*peerpb.ObjectVersion {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]*peerpb.ObjectVersion, 0, len(s.objects))
-	for key, o := range s.objects {
-		out = append(out, &peerpb.ObjectVersion{Kind: key.kind, Name: key.name, Version: o.Version})
-	}
-	return out
-}
-
-// Observe compares the versions that a peer knows with the local ones. If the
-// peer knows newer ones it has Run fetch them and returns true.
-func (s *Sync) Observe(address string, versions []*peerpb.ObjectVersion) (isBehind bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, v := range versions {
-		key := objectKey{v.Kind, v.Name}
-		if v.Version > max(s.objects[key].Version, s.rejected[key]) {
-			s.behind[address] = true
-			signal(s.wake)
-			return true
-		}
-	}
-	return false
-}
-
 // Fetch serves the objects that the caller has in a lower version or not.
 func (s *Sync) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
 	have := make(map[objectKey]int64, len(req.Have))
