Send known instances in heartbeats only while they differ

Cause: after the versions, the list of known instances is the largest part of a heartbeat: 625 of 1437 bytes with 8 instances, 2063 of 3977 with 24.

Change: heartbeats carry a digest of the instances that answer, the sender included, and the list only while the digests differ. A cut link makes them differ for as long as it lasts, so heartbeats then carry lists as before.

Ruled out: a list of changes since the last heartbeat. It saves more during a cut, but needs state per peer that a restart invalidates.

--- a/internal/control/heard.go
+++ b/internal/control/heard.go
@@ -3,7 +3,7 @@
 // heard is what the last answer of a peer said, which decides what the next
 // heartbeat to it leaves out.
 type heard struct {
-	versions uint64 // digest
+	versions, known uint64 // digests
 }
 
 func (m *Membership) heardFrom(address string) heard {
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -46,3 +46,32 @@
 		}
 	})
 }
+
+// Guards against heartbeats that carry all instances while nothing changes,
+// and against instances that do not hear of others because a list was left out.
+func TestKnownOnlyOnDifference(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		a, b := w.start(p, "a", "z", "1"), w.start(p, "b", "z", "1", "peer:a")
+		c := w.start(p, "c", "z", "1", "peer:a")
+		time.Sleep(10100 * time.Millisecond)
+		if req, reply := exchange(t, w, a, b); len(req.Known) != 0 || len(reply.Known) != 0 {
+			t.Errorf("%d and %d instances without a difference", len(req.Known), len(reply.Known))
+		}
+		d := InstanceRecord{Name: "d", Incarnation: "1", Zone: "z", PeerAddress: "peer:d", State: StateReady}
+		a.members.learn(d, time.Now(), true, 0)
+		for _, n := range []*node{b, c} {
+			exchange(t, w, a, n)
+			n.members.publish()
+			if _, ok := n.store.Load().Instances["d"]; !ok {
+				t.Errorf("%s did not hear of the new instance from a question", n.self.Name)
+			}
+		}
+		d.Name, d.PeerAddress = "e", "peer:e"
+		a.members.learn(d, time.Now(), true, 0)
+		exchange(t, w, b, a)
+		b.members.publish()
+		if _, ok := b.store.Load().Instances["e"]; !ok {
+			t.Error("b did not hear of the new instance from an answer")
+		}
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -167,10 +167,12 @@
 	ctx, cancel := context.WithTimeout(ctx, suspectAfter)
 	defer cancel()
 	epoch, _ := m.leases.Released()
-	versions, digest := m.sync.VersionsUnless(m.heardFrom(address).versions)
+	last := m.heardFrom(address)
+	versions, digest := m.sync.VersionsUnless(last.versions)
+	known, knownDigest := m.knownUnless(last.known)
 	req := &peerpb.ExchangeRequest{
 		From: m.describe(), Versions: versions, VersionsDigest: digest, PlacementEpoch: epoch,
-		Loads: peer.EncodeLoads(m.pool.Loads()), Known: m.known(),
+		Loads: peer.EncodeLoads(m.pool.Loads()), Known: known, KnownDigest: knownDigest,
 		FreshAgeMs: m.freshAge(), ConfigInForce: m.store.Load().ConfigVersion,
 	}
 	sentAt := time.Now()
@@ -190,7 +192,7 @@
 	if !m.learn(from, now, true, reply.ConfigInForce) {
 		return
 	}
-	m.hear(address, heard{versions: reply.VersionsDigest})
+	m.hear(address, heard{versions: reply.VersionsDigest, known: reply.KnownDigest})
 	m.learnKnown(reply.Known, now)
 	if from.Zone == m.self.Zone {
 		m.leases.ObserveAnswer(from.Name, epoch, reply.Granted, sentAt)
@@ -226,7 +228,7 @@
 	reply.Versions, reply.VersionsDigest = m.sync.VersionsUnless(req.VersionsDigest)
 	reply.PlacementEpoch, reply.Released = m.leases.Released()
 	reply.Loads = peer.EncodeLoads(m.pool.Loads())
-	reply.Known = m.known()
+	reply.Known, reply.KnownDigest = m.knownUnless(req.KnownDigest)
 	reply.FreshAgeMs = m.freshAge()
 	reply.ConfigInForce = m.store.Load().ConfigVersion
 	return reply, nil
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -35,18 +35,33 @@
 
 func (m *Membership) describe() *peerpb.Instance { return encodeInstance(m.record()) }
 
-// known returns the instances that answer. Passing on others would keep
-// instances that are gone alive in heartbeats for ever.
-func (m *Membership) known() []*peerpb.Instance {
+// knownUnless returns the digest of the instances that answer, the local one
+// included, and the others among them unless the peer has the same digest.
+// Passing on instances that do not answer would keep those that are gone in
+// heartbeats for ever.
+func (m *Membership) knownUnless(peerHas uint64) ([]*peerpb.Instance, uint64) {
+	digest := m.record().digest()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, p := range m.members {
+		if !p.suspect {
+			digest += p.InstanceRecord.digest()
+		}
+	}
+	if digest == peerHas {
+		return nil, digest
+	}
 	var out []*peerpb.Instance
 	for _, p := range m.members {
 		if !p.suspect {
 			out = append(out, encodeInstance(p.InstanceRecord))
 		}
 	}
-	return out
+	return out, digest
+}
+
+func (r InstanceRecord) digest() uint64 {
+	return digestOf(r.Name, r.Incarnation, r.Zone, r.PeerAddress, r.CallerAddress, r.State)
 }
 
 // learnRecords adds the instances that the platform lists.
