Send heartbeats to other zones every 500 ms

Cause: with digests, the cost of a heartbeat is that of a call. An instance asks and answers each other one four times a second, but leases need this only inside the zone.

Change: a tick leaves out an instance of another zone that answered less than 375 ms ago. One that did not answer its last heartbeat is asked every 250 ms, so three attempts are left before it becomes suspect after 1 s (four inside the zone). Pushed changes and refreshes still go to all.

Ruled out: a fixed interval of 500 ms, since one lost call would then make an instance suspect.

Loads of targets of other zones in routing may be 250 ms older.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -162,6 +162,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node // by peer address
 	cut   map[string]bool  // instance names and "a-b" pairs
+	asked map[string]int   // heartbeats by "from-to"
 	// The last heartbeat that was answered.
 	request *peerpb.ExchangeRequest
 	reply   *peerpb.ExchangeReply
@@ -196,6 +197,9 @@
 }
 
 func (c *netClient) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	c.net.mu.Lock()
+	c.net.asked[c.from+"-"+strings.TrimPrefix(c.address, "peer:")]++
+	c.net.mu.Unlock()
 	n, err := c.reach(ctx)
 	if err != nil {
 		return nil, err
@@ -303,10 +307,12 @@
 
 func (w *network) link(key string, cut bool) { w.mu.Lock(); defer w.mu.Unlock(); w.cut[key] = cut }
 
+func (w *network) count(pair string) int { w.mu.Lock(); defer w.mu.Unlock(); return w.asked[pair] }
+
 // bubble runs a test with a network and a platform on a fake clock.
 func bubble(t *testing.T, f func(t *testing.T, w *network, p *fakePlatform)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
+		w := &network{nodes: map[string]*node{}, cut: map[string]bool{}, asked: map[string]int{}}
 		defer func() {
 			for _, n := range w.nodes {
 				n.cancel()
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
+	"github.com/baobabsill/baobabsill/internal/state"
 )
 
 // exchange has one node ask another and returns both messages.
@@ -75,3 +76,35 @@
 		}
 	})
 }
+
+// Guards against heartbeats to other zones that are as frequent as those that
+// carry leases, and against a rarer one that leaves a single attempt before an
+// instance becomes suspect.
+func TestHeartbeatsToOtherZones(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		a, b := w.start(p, "a", "z1", "1"), w.start(p, "b", "z1", "1", "peer:a")
+		c := w.start(p, "c", "z2", "1", "peer:a")
+		time.Sleep(10100 * time.Millisecond)
+		count := func(pair string, d time.Duration) int {
+			before := w.count(pair)
+			time.Sleep(d)
+			return w.count(pair) - before
+		}
+		if got := count("a-b", 10*time.Second); got != 40 {
+			t.Errorf("%d heartbeats in the zone in 10 s, want 40", got)
+		}
+		if got := count("a-c", 10*time.Second); got != 20 {
+			t.Errorf("%d heartbeats to another zone in 10 s, want 20", got)
+		}
+		w.link("c", true)
+		if got := count("a-c", time.Second); got < 3 {
+			t.Errorf("%d heartbeats in the first second without answers, want 3", got)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range []*node{a, b} {
+			if got := n.store.Load().Instances[c.self.Name].Liveness; got != state.Suspect {
+				t.Errorf("%s sees the cut instance as %v", n.self.Name, got)
+			}
+		}
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -18,7 +18,12 @@
 
 const (
 	heartbeatEvery = 250 * time.Millisecond
-	suspectAfter   = time.Second
+	// otherZoneAge is the age of the last answer from which an instance of
+	// another zone gets the next heartbeat. No lease depends on these, so every
+	// second heartbeat is left out. After one without an answer none is, which
+	// leaves three attempts before the instance becomes suspect.
+	otherZoneAge = heartbeatEvery * 3 / 2
+	suspectAfter = time.Second
 	// forgetAfter is how long an instance that does not answer gets heartbeats.
 	forgetAfter = time.Minute
 	// stallGap is the pause of the process after which peers get another
@@ -124,14 +129,17 @@
 	calls.Go(func() { m.removeDeadRecords(ctx) })
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
+	pushed := false
 	for {
 		m.tick(time.Now())
-		m.round(ctx, &calls, false)
+		m.round(ctx, &calls, pushed, false)
+		pushed = false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-m.sync.Push():
+			pushed = true
 		}
 	}
 }
@@ -139,21 +147,26 @@
 // Refresh asks all peers once and waits for their answers.
 func (m *Membership) Refresh(ctx context.Context) {
 	var calls sync.WaitGroup
-	m.round(ctx, &calls, true)
+	m.round(ctx, &calls, true, true)
 	calls.Wait()
 }
 
-// round sends one heartbeat to each known instance and unknown seed. With
-// fetch, newer objects are fetched before the state counts as confirmed.
-func (m *Membership) round(ctx context.Context, calls *sync.WaitGroup, fetch bool) {
+// round sends one heartbeat to each known instance and unknown seed. Without
+// all, those of other zones that answered recently are left out. With fetch,
+// newer objects are fetched before the state counts as confirmed.
+func (m *Membership) round(ctx context.Context, calls *sync.WaitGroup, all, fetch bool) {
 	m.mu.Lock()
+	now := time.Now()
 	addresses := map[string]bool{}
-	for _, p := range m.members {
-		addresses[p.PeerAddress] = true
-	}
 	for _, seed := range m.self.Seeds {
 		addresses[seed] = true
 	}
+	for _, p := range m.members {
+		addresses[p.PeerAddress] = true
+		if !all && !p.suspect && p.Zone != m.self.Zone && now.Sub(p.answered) < otherZoneAge {
+			delete(addresses, p.PeerAddress)
+		}
+	}
 	for address := range m.selfAt {
 		delete(addresses, address)
 	}
