Send loads in heartbeats only after a change

Cause: each heartbeat carries the loads of all held targets, also when none changed.

Change: each side says by digest which loads it holds from the other. A list that the other holds is left out, and its digest confirms the held list at the time of the heartbeat. The report reaches Rights.ObserveLoads as if it had come in full, so the rule that a warm report older than 5 s counts no more is unchanged. A digest of other loads confirms none, and the next heartbeat carries the list. No full copy now and then is needed.

Ruled out: sending only the loads that changed. The sender would need a list per peer of what it has, and a lost answer would leave the two sides apart.

Under load the list changes with each request, so heartbeats carry it as before.

--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/placement"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
@@ -108,3 +109,35 @@
 		}
 	})
 }
+
+// Guards against heartbeats that repeat loads that did not change, against warm
+// reports that expire because of that, and against a digest that confirms other
+// loads than its own.
+func TestLoadsOnlyOnDifference(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		a, b := w.start(p, "a", "z", "1"), w.start(p, "b", "z", "1", "peer:a")
+		load := state.Load{Target: "t", Phase: state.PhaseWarm, Limit: 2, Incarnation: "1"}
+		a.pool.Adopt(load)
+		reported := func() placement.ReportedLoad { return b.rights.Evidence().Reports["a"].Loads["t"] }
+		time.Sleep(10100 * time.Millisecond)
+		for _, pair := range [][2]*node{{a, b}, {b, a}} {
+			if req, reply := exchange(t, w, pair[0], pair[1]); len(req.Loads) != 0 || len(reply.Loads) != 0 {
+				t.Errorf("%d and %d loads without a difference", len(req.Loads), len(reply.Loads))
+			}
+		}
+		if r := reported(); r.Load != load || time.Since(r.At) > heartbeatEvery {
+			t.Errorf("load %+v was last confirmed %v ago", r.Load, time.Since(r.At))
+		}
+		load.InFlight = 1
+		a.pool.Adopt(load)
+		if req, _ := exchange(t, w, a, b); len(req.Loads) != 1 || reported().Load != load {
+			t.Errorf("%d loads sent after a change, peer has %+v", len(req.Loads), reported().Load)
+		}
+		confirmedAt := reported().At
+		time.Sleep(time.Millisecond)
+		_, _ = b.members.Exchange(t.Context(), &peerpb.ExchangeRequest{From: a.members.describe(), LoadsDigest: 12345})
+		if got := reported().At; !got.Equal(confirmedAt) {
+			t.Error("another digest confirmed the load")
+		}
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -10,7 +10,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
@@ -79,6 +78,7 @@
 	mu       sync.Mutex
 	state    string
 	heard    map[string]heard // by peer address
+	held     map[string]heldLoads
 	members  map[string]*member
 	records  map[string]int64 // versions of the instance objects seen
 	lastTick time.Time
@@ -93,7 +93,7 @@
 	return &Membership{
 		logger: orDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
 		leases: leases, pool: pool, registry: registry, state: StateStarting,
-		members: map[string]*member{}, records: map[string]int64{}, heard: map[string]heard{},
+		members: map[string]*member{}, records: map[string]int64{}, heard: map[string]heard{}, held: map[string]heldLoads{},
 		selfAt:       map[string]bool{self.PeerAddress: true},
 		stateChanged: make(chan struct{}, 1),
 	}
@@ -183,9 +183,10 @@
 	last := m.heardFrom(address)
 	versions, digest := m.sync.VersionsUnless(last.versions)
 	known, knownDigest := m.knownUnless(last.known)
+	loads, loadsDigest := m.loadsUnless(last.loads)
 	req := &peerpb.ExchangeRequest{
 		From: m.describe(), Versions: versions, VersionsDigest: digest, PlacementEpoch: epoch,
-		Loads: peer.EncodeLoads(m.pool.Loads()), Known: known, KnownDigest: knownDigest,
+		Loads: loads, LoadsDigest: loadsDigest, HeldLoadsDigest: m.heldDigest(last.name), Known: known, KnownDigest: knownDigest,
 		FreshAgeMs: m.freshAge(), ConfigInForce: m.store.Load().ConfigVersion,
 	}
 	sentAt := time.Now()
@@ -205,13 +206,13 @@
 	if !m.learn(from, now, true, reply.ConfigInForce) {
 		return
 	}
-	m.hear(address, heard{versions: reply.VersionsDigest, known: reply.KnownDigest})
+	m.hear(address, heard{from.Name, reply.VersionsDigest, reply.KnownDigest, reply.HeldLoadsDigest})
 	m.learnKnown(reply.Known, now)
 	if from.Zone == m.self.Zone {
 		m.leases.ObserveAnswer(from.Name, epoch, reply.Granted, sentAt)
 		m.leases.ObserveEpoch(from.Name, reply.PlacementEpoch, reply.Released, now)
 	}
-	m.takeLoads(from.Name, peer.DecodeLoads(reply.Loads), now)
+	m.receiveLoads(from.Name, reply.Loads, reply.LoadsDigest, now)
 	// The same digest as in the question shows that nothing is newer, even if
 	// the local versions went up since.
 	behind := (digest == 0 || reply.VersionsDigest != digest) && m.sync.Observe(address, reply.Versions, reply.VersionsDigest)
@@ -235,12 +236,13 @@
 			reply.Granted = m.leases.Grant(from.Name, req.PlacementEpoch, now)
 			m.leases.ObserveEpoch(from.Name, req.PlacementEpoch, nil, now)
 		}
-		m.takeLoads(from.Name, peer.DecodeLoads(req.Loads), now)
+		m.receiveLoads(from.Name, req.Loads, req.LoadsDigest, now)
+		reply.HeldLoadsDigest = m.heldDigest(from.Name)
 		m.sync.Observe(from.PeerAddress, req.Versions, req.VersionsDigest)
 	}
 	reply.Versions, reply.VersionsDigest = m.sync.VersionsUnless(req.VersionsDigest)
 	reply.PlacementEpoch, reply.Released = m.leases.Released()
-	reply.Loads = peer.EncodeLoads(m.pool.Loads())
+	reply.Loads, reply.LoadsDigest = m.loadsUnless(req.HeldLoadsDigest)
 	reply.Known, reply.KnownDigest = m.knownUnless(req.KnownDigest)
 	reply.FreshAgeMs = m.freshAge()
 	reply.ConfigInForce = m.store.Load().ConfigVersion
@@ -344,6 +346,7 @@
 		if p.suspect && (silent >= forgetAfter || p.State == StateDraining && silent >= suspectAfter) {
 			delete(m.members, name)
 			delete(m.heard, p.PeerAddress)
+			delete(m.held, name)
 		}
 	}
 	m.mu.Unlock()
