Poll the target list at half the rate from the second reader

Cause: 34 KB/s of an idle instance do not depend on the number of instances. By the fits, this is mostly the list of target instances (GET /instances), which both readers of a zone read in full every 500 ms: about 34 KB/s per reader, against about 2.7 KB/s per peer for heartbeats in the zone.

Change: the first reader of a zone polls every 500 ms as before, the other every 1 s. Views are shared at once, so a change in the list is seen as soon as before while the first reader reaches the platform, and after at most 1 s while it does not.

Ruled out: one polling reader per zone. The second would start with a poll older than pollStale, and the zone would miss its view during a takeover.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -27,7 +27,8 @@
 	items   []platform.TargetItem
 	down    map[string]bool // by instance; "" for all
 	writes  int
-	slow    atomic.Int64 // delay of the answer of a read
+	polls   map[string]int // of the instance list, by instance
+	slow    atomic.Int64   // delay of the answer of a read
 }
 
 // platformLink is the platform as one instance reaches it.
@@ -37,7 +38,7 @@
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{objects: map[objectKey]platform.Object{}, changed: make(chan struct{}), down: map[string]bool{}}
+	return &fakePlatform{objects: map[objectKey]platform.Object{}, changed: make(chan struct{}), down: map[string]bool{}, polls: map[string]int{}}
 }
 
 func (p *fakePlatform) set(name string, down bool) {
@@ -148,6 +149,7 @@
 		return nil, err
 	}
 	defer p.mu.Unlock()
+	p.polls[p.name]++
 	return slices.Clone(p.items), nil
 }
 
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -147,3 +147,31 @@
 		}
 	})
 }
+
+// Guards against readers that all poll the long instance list at the full rate,
+// and against a zone that stays at the lower rate after its first reader stops.
+func TestOneReaderPollsFast(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		a := w.start(p, "a", "z", "1")
+		w.start(p, "b", "z", "1", "peer:a")
+		w.start(p, "c", "z", "1", "peer:a")
+		expect := func(what string, polls map[string]int) {
+			t.Helper()
+			time.Sleep(10050 * time.Millisecond)
+			p.mu.Lock()
+			clear(p.polls)
+			p.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for name, want := range polls {
+				if got := p.polls[name]; got != want {
+					t.Errorf("%s: %d polls of %s in 10 s, want %d", what, got, name, want)
+				}
+			}
+		}
+		expect("all live", map[string]int{"a": 20, "b": 10, "c": 0})
+		w.stop(a)
+		expect("without the first", map[string]int{"a": 0, "b": 20, "c": 10})
+	})
+}
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -14,7 +14,11 @@
 )
 
 const (
+	// pollEvery is the interval of the first reader of a zone. The others poll
+	// every spareEvery, since they get its view at once and are only needed
+	// while it is gone. Both are less than pollStale.
 	pollEvery  = 500 * time.Millisecond
+	spareEvery = time.Second
 	mergeEvery = 100 * time.Millisecond
 	// absentAfter is how long a target must be missing from the list before
 	// it gets no new work. The list lags, and its entries may flap.
@@ -98,9 +102,13 @@
 }
 
 func (l *TargetList) reconcile(ctx context.Context) {
-	reader := isReader(l.store.Load(), l.self.Name, l.self.Zone)
+	rank := readerRank(l.store.Load(), l.self.Name, l.self.Zone)
+	reader, every := rank < readersPerZone, pollEvery
+	if rank > 0 {
+		every = spareEvery
+	}
 	if now := time.Now(); reader && !now.Before(l.nextPoll) {
-		l.nextPoll = now.Add(pollEvery)
+		l.nextPoll = now.Add(every)
 		items, err := l.lister.Instances(ctx)
 		if err != nil {
 			l.logger.Debug().Err(err).Msg("instance list not read")
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -13,13 +13,18 @@
 // isReader reports whether the instance is among those of its zone that watch
 // the platform: the live ones with the lowest names.
 func isReader(snap *state.Snapshot, name, zone string) bool {
+	return readerRank(snap, name, zone) < readersPerZone
+}
+
+// readerRank returns the number of live instances of the zone with lower names.
+func readerRank(snap *state.Snapshot, name, zone string) int {
 	lower := 0
 	for _, i := range snap.Instances {
 		if i.Zone == zone && i.Liveness == state.Alive && i.Name < name {
 			lower++
 		}
 	}
-	return lower < readersPerZone
+	return lower
 }
 
 // watch follows the platform while this instance is a reader.
