--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -27,7 +27,8 @@
 	items   []platform.TargetItem
 	down    map[string]bool // by instance; "" for all
 	writes  int
-	slow    atomic.Int64 // delay of the answer of a read
+	polls   map[string]int // of the instance list, by instance
+	slow    atomic.Int64   // delay of the answer of a read
 }
 
 // platformLink is the platform as one instance reaches it.
@@ -37,7 +38,7 @@
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{objects: map[objectKey]platform.Object{}, changed: make(chan struct{}), down: map[string]bool{}}
+	return &fakePlatform{objects: map[objectKey]platform.Object{}, changed: make(chan struct{}), down: map[string]bool{}, polls: map[string]int{}}
 }
 
 func (p *fakePlatform) set(name string, down bool) {
@@ -148,6 +149,7 @@
 		return nil, err
 	}
 	defer p.mu.Unlock()
+	p.polls[p.name]++
 	return slices.Clone(p.items), nil
 }
 
@@ -162,6 +164,10 @@
 	mu    sync.Mutex
 	nodes map[string]*node // by peer address
 	cut   map[string]bool  // instance names and "a-b" pairs
+	asked map[string]int   // heartbeats by "from-to"
+	// The last heartbeat that was answered.
+	request *peerpb.ExchangeRequest
+	reply   *peerpb.ExchangeReply
 }
 
 type netPeers struct {
@@ -193,11 +199,18 @@
 }
 
 func (c *netClient) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	c.net.mu.Lock()
+	c.net.asked[c.from+"-"+strings.TrimPrefix(c.address, "peer:")]++
+	c.net.mu.Unlock()
 	n, err := c.reach(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return n.members.Exchange(ctx, r)
+	reply, err := n.members.Exchange(ctx, r)
+	c.net.mu.Lock()
+	c.net.request, c.net.reply = r, reply
+	c.net.mu.Unlock()
+	return reply, err
 }
 
 func (c *netClient) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
@@ -296,10 +309,12 @@
 
 func (w *network) link(key string, cut bool) { w.mu.Lock(); defer w.mu.Unlock(); w.cut[key] = cut }
 
+func (w *network) count(pair string) int { w.mu.Lock(); defer w.mu.Unlock(); return w.asked[pair] }
+
 // bubble runs a test with a network and a platform on a fake clock.
 func bubble(t *testing.T, f func(t *testing.T, w *network, p *fakePlatform)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &network{nodes: map[string]*node{}, cut: map[string]bool{}}
+		w := &network{nodes: map[string]*node{}, cut: map[string]bool{}, asked: map[string]int{}}
 		defer func() {
 			for _, n := range w.nodes {
 				n.cancel()
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -10,7 +10,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
@@ -18,7 +17,12 @@
 
 const (
 	heartbeatEvery = 250 * time.Millisecond
-	suspectAfter   = time.Second
+	// otherZoneAge is the age of the last answer from which an instance of
+	// another zone gets the next heartbeat. No lease depends on these, so every
+	// second heartbeat is left out. After one without an answer none is, which
+	// leaves three attempts before the instance becomes suspect.
+	otherZoneAge = heartbeatEvery * 3 / 2
+	suspectAfter = time.Second
 	// forgetAfter is how long an instance that does not answer gets heartbeats.
 	forgetAfter = time.Minute
 	// stallGap is the pause of the process after which peers get another
@@ -56,6 +60,9 @@
 	suspect  bool
 	inForce  int64
 	past     []string // earlier incarnations
+	// hash is the digest of hashed, which may be an earlier record.
+	hashed InstanceRecord
+	hash   uint64
 }
 
 // Membership exchanges heartbeats with the other instances and publishes them
@@ -73,6 +80,8 @@
 
 	mu       sync.Mutex
 	state    string
+	heard    map[string]heard // by peer address
+	held     map[string]heldLoads
 	members  map[string]*member
 	records  map[string]int64 // versions of the instance objects seen
 	lastTick time.Time
@@ -87,7 +96,7 @@
 	return &Membership{
 		logger: orDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
 		leases: leases, pool: pool, registry: registry, state: StateStarting,
-		members: map[string]*member{}, records: map[string]int64{},
+		members: map[string]*member{}, records: map[string]int64{}, heard: map[string]heard{}, held: map[string]heldLoads{},
 		selfAt:       map[string]bool{self.PeerAddress: true},
 		stateChanged: make(chan struct{}, 1),
 	}
@@ -123,14 +132,17 @@
 	calls.Go(func() { m.removeDeadRecords(ctx) })
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
+	pushed := false
 	for {
 		m.tick(time.Now())
-		m.round(ctx, &calls, false)
+		m.round(ctx, &calls, pushed, false)
+		pushed = false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-m.sync.Push():
+			pushed = true
 		}
 	}
 }
@@ -138,21 +150,26 @@
 // Refresh asks all peers once and waits for their answers.
 func (m *Membership) Refresh(ctx context.Context) {
 	var calls sync.WaitGroup
-	m.round(ctx, &calls, true)
+	m.round(ctx, &calls, true, true)
 	calls.Wait()
 }
 
-// round sends one heartbeat to each known instance and unknown seed. With
-// fetch, newer objects are fetched before the state counts as confirmed.
-func (m *Membership) round(ctx context.Context, calls *sync.WaitGroup, fetch bool) {
+// round sends one heartbeat to each known instance and unknown seed. Without
+// all, those of other zones that answered recently are left out. With fetch,
+// newer objects are fetched before the state counts as confirmed.
+func (m *Membership) round(ctx context.Context, calls *sync.WaitGroup, all, fetch bool) {
 	m.mu.Lock()
+	now := time.Now()
 	addresses := map[string]bool{}
-	for _, p := range m.members {
-		addresses[p.PeerAddress] = true
-	}
 	for _, seed := range m.self.Seeds {
 		addresses[seed] = true
 	}
+	for _, p := range m.members {
+		addresses[p.PeerAddress] = true
+		if !all && !p.suspect && p.Zone != m.self.Zone && now.Sub(p.answered) < otherZoneAge {
+			delete(addresses, p.PeerAddress)
+		}
+	}
 	for address := range m.selfAt {
 		delete(addresses, address)
 	}
@@ -166,9 +183,13 @@
 	ctx, cancel := context.WithTimeout(ctx, suspectAfter)
 	defer cancel()
 	epoch, _ := m.leases.Released()
+	last := m.heardFrom(address)
+	versions, digest := m.sync.VersionsUnless(last.versions)
+	known, knownDigest := m.knownUnless(last.known)
+	loads, loadsDigest := m.loadsUnless(last.loads)
 	req := &peerpb.ExchangeRequest{
-		From: m.describe(), Versions: m.sync.Versions(), PlacementEpoch: epoch,
-		Loads: peer.EncodeLoads(m.pool.Loads()), Known: m.known(),
+		From: m.describe(), Versions: versions, VersionsDigest: digest, PlacementEpoch: epoch,
+		Loads: loads, LoadsDigest: loadsDigest, HeldLoadsDigest: m.heldDigest(last.name), Known: known, KnownDigest: knownDigest,
 		FreshAgeMs: m.freshAge(), ConfigInForce: m.store.Load().ConfigVersion,
 	}
 	sentAt := time.Now()
@@ -188,16 +209,19 @@
 	if !m.learn(from, now, true, reply.ConfigInForce) {
 		return
 	}
+	m.hear(address, heard{from.Name, reply.VersionsDigest, reply.KnownDigest, reply.HeldLoadsDigest})
 	m.learnKnown(reply.Known, now)
 	if from.Zone == m.self.Zone {
 		m.leases.ObserveAnswer(from.Name, epoch, reply.Granted, sentAt)
 		m.leases.ObserveEpoch(from.Name, reply.PlacementEpoch, reply.Released, now)
 	}
-	m.takeLoads(from.Name, peer.DecodeLoads(reply.Loads), now)
-	behind := m.sync.Observe(address, reply.Versions)
+	m.receiveLoads(from.Name, reply.Loads, reply.LoadsDigest, now)
+	// The same digest as in the question shows that nothing is newer, even if
+	// the local versions went up since.
+	behind := (digest == 0 || reply.VersionsDigest != digest) && m.sync.Observe(address, reply.Versions, reply.VersionsDigest)
 	if behind && fetch {
 		m.sync.fetch(ctx, address)
-		behind = m.sync.Observe(address, reply.Versions)
+		behind = m.sync.Observe(address, reply.Versions, reply.VersionsDigest)
 	}
 	if age := reply.FreshAgeMs; !behind && age >= 0 && age <= maxAge.Milliseconds() {
 		m.freshness.Confirm(sentAt.Add(-time.Duration(age) * time.Millisecond))
@@ -215,13 +239,14 @@
 			reply.Granted = m.leases.Grant(from.Name, req.PlacementEpoch, now)
 			m.leases.ObserveEpoch(from.Name, req.PlacementEpoch, nil, now)
 		}
-		m.takeLoads(from.Name, peer.DecodeLoads(req.Loads), now)
-		m.sync.Observe(from.PeerAddress, req.Versions)
+		m.receiveLoads(from.Name, req.Loads, req.LoadsDigest, now)
+		reply.HeldLoadsDigest = m.heldDigest(from.Name)
+		m.sync.Observe(from.PeerAddress, req.Versions, req.VersionsDigest)
 	}
-	reply.Versions = m.sync.Versions()
+	reply.Versions, reply.VersionsDigest = m.sync.VersionsUnless(req.VersionsDigest)
 	reply.PlacementEpoch, reply.Released = m.leases.Released()
-	reply.Loads = peer.EncodeLoads(m.pool.Loads())
-	reply.Known = m.known()
+	reply.Loads, reply.LoadsDigest = m.loadsUnless(req.HeldLoadsDigest)
+	reply.Known, reply.KnownDigest = m.knownUnless(req.KnownDigest)
 	reply.FreshAgeMs = m.freshAge()
 	reply.ConfigInForce = m.store.Load().ConfigVersion
 	return reply, nil
@@ -323,6 +348,8 @@
 		}
 		if p.suspect && (silent >= forgetAfter || p.State == StateDraining && silent >= suspectAfter) {
 			delete(m.members, name)
+			delete(m.heard, p.PeerAddress)
+			delete(m.held, name)
 		}
 	}
 	m.mu.Unlock()
