Tell the peers when an instance stops serving sub-requests

Cause: an instance that stops during an outage of the platform stays in the placement; its peers sent to it until their calls broke off, which is an unknown outcome that needs budget to retry. Ruled out: the release of the placement, which cannot succeed without the platform. Change: state stopping, announced before the peer server closes; peers stop routing to it at once. The new test fails without the change.

--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -175,3 +175,22 @@
 		expect("without the first", map[string]int{"a": 0, "b": 20, "c": 10})
 	})
 }
+
+// Guards against peers that still send to an instance which stops while the
+// platform is down, and find out by broken calls.
+func TestStoppingInstanceIsSuspectAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, w *network, p *fakePlatform) {
+		a, b := w.start(p, "a", "z", "1"), w.start(p, "b", "z", "1", "peer:a")
+		time.Sleep(5100 * time.Millisecond)
+		for _, step := range []struct {
+			state string
+			want  state.Liveness
+		}{{StateDraining, state.Draining}, {StateStopping, state.Suspect}, {StateReady, state.Suspect}} {
+			a.members.SetState(step.state)
+			a.members.Refresh(t.Context())
+			if got := b.store.Load().Instances["a"].Liveness; got != step.want {
+				t.Errorf("%s: %s, want %s", step.state, got, step.want)
+			}
+		}
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -102,11 +102,11 @@
 	}
 }
 
-// SetState changes the local state; after "draining" no other is taken. The
-// peers are told at once.
+// SetState changes the local state; an earlier one is not taken. The peers are
+// told at once.
 func (m *Membership) SetState(s string) {
 	m.mu.Lock()
-	changed := m.state != s && m.state != StateDraining
+	changed := isLater(m.state, s)
 	if changed {
 		m.state = s
 	}
@@ -280,7 +280,7 @@
 		}
 		m.replace(p, r, now)
 	}
-	if p.State != StateDraining {
+	if isLater(p.State, r.State) {
 		p.State = r.State
 	}
 	p.inForce = max(p.inForce, inForce)
@@ -288,6 +288,7 @@
 		p.answered = now
 		p.suspect = p.State == StateStarting
 	}
+	p.suspect = p.suspect || p.State == StateStopping
 	m.mu.Unlock()
 	m.publish()
 	return true
@@ -320,7 +321,7 @@
 	case !ok:
 		m.members[r.Name] = &member{InstanceRecord: r, learned: now, suspect: true}
 	case p.Incarnation == r.Incarnation:
-		if r.State == StateDraining {
+		if isLeaving(r.State) && isLater(p.State, r.State) {
 			p.State = r.State
 		}
 	case p.suspect && !slices.Contains(p.past, r.Incarnation):
@@ -346,7 +347,7 @@
 		if p.answered.IsZero() {
 			silent = now.Sub(p.learned)
 		}
-		if p.suspect && (silent >= forgetAfter || p.State == StateDraining && silent >= suspectAfter) {
+		if p.suspect && (silent >= forgetAfter || isLeaving(p.State) && silent >= suspectAfter) {
 			delete(m.members, name)
 			delete(m.heard, p.PeerAddress)
 			delete(m.held, name)
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -37,6 +37,9 @@
 	leave, cancelLeave := context.WithTimeout(force, leaveTimeout)
 	defer cancelLeave()
 	failed.Add(named("instance object", d.membership.Leave(leave)))
+	// During an outage of the platform the placement still names this instance.
+	d.membership.SetState(control.StateStopping)
+	d.membership.Refresh(leave)
 	failed.Add(named("peer requests", d.peers.Shutdown(ctx)))
 	if force.Err() != nil {
 		return Error.New("shutdown cut short by a second signal: %v", failed.Err())
