Limit searches in flight by refusals for load

The only bound was 256 requests in flight per instance, while 8 instances together keep the targets busy with about a dozen. At 72 critical arrivals a second (24 operations on one shard among them) against 40 that a shard bears, each shard refuses its own part of the searches, and the work of the other shards is lost. Ruled out: hedges and retries (extra load 0.00% at 2 x and 5 x) and the processors (2.65 of 10 cores).

Change: each priority has an adaptive limit of searches in flight per entry, with additive increase and a cut to 0.7 when a search was lost for load, never below 2. A partial search counts as lost above 10% of its shards. Searches above the limit are refused before anything is sent. Operations take one sub-request and waste no other work, so only the fixed bound holds for them.

--- /dev/null
+++ b/internal/gateway/concurrency_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/outcome"
+	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+)
+
+// Guards against an entry that goes on sending searches of which holders
+// refuse some shards, and against a limit that stays low after the overload.
+func TestConcurrencyFollowsRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running, refusedWhole, answered atomic.Int64
+		f := &fakeExecutor{}
+		f.do = func(ctx context.Context, _ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+			// Each shard bears 8 sub-requests at a time.
+			if running.Add(1) > 16 {
+				running.Add(-1)
+				return notRun(req, outcome.ReasonOverload), nil
+			}
+			err := after(ctx, 100*time.Millisecond)
+			running.Add(-1)
+			return whole(req), err
+		}
+		g := newGateway(fixture(2, declare.ClassComplete), f, Options{Policy: Policy{Hedging: HedgeOff}})
+		for i := range 600 { // 200 searches a second, the capacity is 80
+			go func() {
+				r := g.Search(t.Context(), request(i))
+				switch {
+				case r.Result.Code == outcome.Answered:
+					answered.Add(1)
+				case r.Result.Code == outcome.NotRun && r.Coverage.Total == 0:
+					refusedWhole.Add(1)
+				}
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if n := answered.Load(); n < 150 {
+			t.Errorf("%d of 240 possible searches were answered", n)
+		}
+		if n := refusedWhole.Load(); n < 300 {
+			t.Errorf("%d searches were refused before anything was sent", n)
+		}
+		low := g.concurrency[Critical].Limit()
+		if low > 20 || low < minConcurrency {
+			t.Errorf("limit %.1f under overload", low)
+		}
+		for i := range 100 {
+			for range int(low) {
+				go g.Search(t.Context(), request(i))
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if high := g.concurrency[Critical].Limit(); high <= low {
+			t.Errorf("limit %.1f after the overload, %.1f before", high, low)
+		}
+	})
+}
--- a/internal/gateway/filter.go
+++ b/internal/gateway/filter.go
@@ -55,10 +55,15 @@
 
 	// mayRestart says whether another index snapshot is left to restart on.
 	mayRestart bool
+	// lostForLoad counts shards that were lost to refusals for load.
+	lostForLoad int
 	// gone is set when the query has to restart on another index snapshot.
 	gone bool
 }
 
+// needsAll reports whether the query is worth nothing without all its shards.
+func (q *Query) needsAll() bool { return q.Search.Class == declare.ClassComplete }
+
 // Handler answers a query. It is safe for concurrent use.
 type Handler func(ctx context.Context, q *Query) SearchReply
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,11 +39,13 @@
 	trace     bool
 	policy    Policy
 	admission *Admission
-	budget    *Budget
-	stats     *Stats
-	metrics   *metrics
-	latest    atomic.Pointer[view]
-	chain     Handler
+	// concurrency has one limit per Priority.
+	concurrency [3]*Concurrency
+	budget      *Budget
+	stats       *Stats
+	metrics     *metrics
+	latest      atomic.Pointer[view]
+	chain       Handler
 }
 
 // NewGateway returns a Gateway.
@@ -62,7 +64,10 @@
 		zone: o.Zone, trace: o.Trace, policy: o.Policy.withDefaults(),
 		admission: NewAdmission(o.MaxInFlight), budget: &Budget{}, stats: &Stats{}, metrics: newMetrics(o.Scope.SubScope("gateway")),
 	}
-	g.chain = Chain(g.scatter, g.validate, g.freshness, g.admit, g.deadline, g.plan)
+	for p := range g.concurrency {
+		g.concurrency[p] = NewConcurrency(o.MaxInFlight)
+	}
+	g.chain = Chain(g.scatter, g.validate, g.freshness, g.admit, g.limitLoad, g.deadline, g.plan)
 	return g
 }
 
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -209,6 +209,9 @@
 func (s *scatterRun) fail(sh *shardRun, r outcome.Reason) {
 	sh.done, sh.reason = true, r
 	s.open--
+	if r == outcome.ReasonOverload || r == outcome.ReasonShed {
+		s.q.lostForLoad++
+	}
 	if r == outcome.ReasonSnapshotGone && s.q.mayRestart {
 		s.q.gone = true
 	}
