End a complete search at once when it lost a shard

Cause: with the limit of searches in flight, 92 critical searches at 5 x capacity still ended as refused-incomplete for load. Their other shards went on working for answers that could not be used, while browse searches had no slots.

Change: when a search of class complete lost a shard for good, all its attempts are cancelled, nothing else is sent, and the search ends when the cancelled attempts have reported.

--- a/internal/gateway/concurrency_test.go
+++ b/internal/gateway/concurrency_test.go
@@ -63,3 +63,41 @@
 		}
 	})
 }
+
+// Guards against a complete search whose other shards keep working after one
+// shard was lost for good, and against a partial one that ends with it.
+func TestLostShardEndsCompleteSearch(t *testing.T) {
+	for class, c := range map[declare.Class]struct {
+		took time.Duration
+		code outcome.Code
+	}{
+		declare.ClassComplete: {10 * time.Millisecond, outcome.Incomplete},
+		declare.ClassPartial:  {500 * time.Millisecond, outcome.Answered},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var cancelled atomic.Int64
+			f := &fakeExecutor{}
+			f.do = func(ctx context.Context, _ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+				if req.Shard == "p0" {
+					return notRun(req, outcome.ReasonOverload), after(ctx, 10*time.Millisecond)
+				}
+				err := after(ctx, 500*time.Millisecond)
+				if err != nil {
+					cancelled.Add(1)
+				}
+				return whole(req), err
+			}
+			g := newGateway(fixture(3, class), f, Options{Policy: Policy{Hedging: HedgeOff}})
+			start := time.Now()
+			r := g.Search(t.Context(), request(1))
+			took := time.Since(start)
+			synctest.Wait()
+			if took != c.took || r.Result.Code != c.code || r.Result.Reason != outcome.ReasonOverload {
+				t.Errorf("%s: %+v after %v", class, r.Result, took)
+			}
+			if (cancelled.Load() == 2) != (class == declare.ClassComplete) {
+				t.Errorf("%s: %d of 2 sub-requests were cancelled", class, cancelled.Load())
+			}
+		})
+	}
+}
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -50,6 +50,8 @@
 	body   []byte
 	shards []shardRun
 	open   int // shards that are not decided
+	// lost is set when the query cannot be answered any more.
+	lost   bool
 	events chan event
 }
 
@@ -66,6 +68,8 @@
 	s.open = len(s.shards)
 	for i := range s.shards {
 		s.shards[i].plan = &q.Plan.Shards[i]
+	}
+	for i := 0; i < len(s.shards) && !s.lost; i++ {
 		s.first(i)
 	}
 	s.loop()
@@ -185,6 +189,10 @@
 		return
 	}
 	sh.reached = sh.reached || e.reachedTarget()
+	if s.lost {
+		s.endAbandoned(sh)
+		return
+	}
 	sh.reason = e.reason
 	if e.reason == outcome.ReasonSnapshotGone {
 		s.g.stats.noteLacking(s.q.Snap.Targets[a.choice.Target], s.q.Plan.Snapshot, time.Now())
@@ -215,6 +223,9 @@
 	if r == outcome.ReasonSnapshotGone && s.q.mayRestart {
 		s.q.gone = true
 	}
+	if s.q.needsAll() && !s.q.gone {
+		s.abandon()
+	}
 }
 
 // untilDue returns the time to the earliest hedge or repeated try.
