See overload by the share of refusals for load

Cause: any single refusal for load, also that of one cold replica, kept all hedges and retries of an entry off for a second.

A search that the entry itself refuses still sets it at once, now also by the adaptive limit.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,9 +93,7 @@
 			g.stats.record(service, req.GetIdempotent(), now, e.took)
 		}
 	}
-	if e.isLoadRefusal() {
-		g.budget.NoteOverload(now)
-	}
+	g.budget.NoteAttempt(now, e.isLoadRefusal())
 	return e
 }
 
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -12,13 +12,14 @@
 type Budget struct {
 	milli    atomic.Int64
 	overload atomic.Int64
+	refusals refusals
 }
 
 const (
 	milliPerFirst = 40
 	milliPerExtra = 1000
 	maxMilli      = 20 * milliPerExtra
-	// overloadTime is how long a refusal for load keeps hedges and retries off.
+	// overloadTime is how long an observed overload keeps hedges and retries off.
 	overloadTime = time.Second
 )
 
@@ -48,10 +49,11 @@
 // Tokens returns the whole and partial tokens left.
 func (b *Budget) Tokens() float64 { return float64(b.milli.Load()) / milliPerExtra }
 
-// NoteOverload records a refusal for load.
+// NoteOverload records that this entry refused a request or that holders
+// refuse many.
 func (b *Budget) NoteOverload(now time.Time) { b.overload.Store(now.UnixNano()) }
 
-// Overloaded reports whether there was a refusal for load in the last second.
+// Overloaded reports whether overload was recorded in the last second.
 func (b *Budget) Overloaded(now time.Time) bool {
 	at := b.overload.Load()
 	return at != 0 && now.UnixNano()-at < int64(overloadTime)
--- a/internal/gateway/concurrency.go
+++ b/internal/gateway/concurrency.go
@@ -74,6 +74,7 @@
 	return func(ctx context.Context, q *Query) SearchReply {
 		c := g.concurrency[q.Priority]
 		if !c.Enter() {
+			g.budget.NoteOverload(time.Now())
 			return refused(outcome.ReasonOverload)
 		}
 		started := time.Now()
