Keep a cut of the search limit from being overwritten

Cause: an increase read the limit and stored it later, so that it could undo a cut of another search in between. Found by reading; no run showed it. Change: increases compare and swap. TestLossCutsOwnPriority is new; it was seen failing with a loss share of 0 and with one limit for all priorities.

--- a/internal/gateway/concurrency.go
+++ b/internal/gateway/concurrency.go
@@ -55,14 +55,16 @@
 // before the last decrease say nothing of the present limit.
 func (c *Concurrency) Leave(started, now time.Time, lost bool) {
 	used := float64(c.inFlight.Add(-1) + 1)
-	limit := c.Limit()
+	bits := c.limit.Load()
+	limit := math.Float64frombits(bits)
 	cutAt := c.cutAt.Load()
 	switch {
 	case started.UnixNano() < cutAt:
 	case !lost:
 		// Without use the limit would grow past anything that was tried.
 		if used >= limit/2 {
-			c.limit.Store(math.Float64bits(min(limit+1/limit, c.max)))
+			// An increase never overwrites a concurrent decrease.
+			c.limit.CompareAndSwap(bits, math.Float64bits(min(limit+1/limit, c.max)))
 		}
 	case c.cutAt.CompareAndSwap(cutAt, now.UnixNano()):
 		c.limit.Store(math.Float64bits(max(min(limit, used)*cutFactor, minConcurrency)))
--- a/internal/gateway/concurrency_test.go
+++ b/internal/gateway/concurrency_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -101,3 +103,25 @@
 		})
 	}
 }
+
+// Guards against one hot shard that cuts the limit of partial searches, and
+// against refused browse searches that cut the limit of other priorities.
+func TestLossCutsOwnPriority(t *testing.T) {
+	for refusedShards, cut := range map[string]bool{"p0": false, "p0 p1 p2": true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeExecutor{do: func(_ context.Context, _ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteReply, error) {
+				if slices.Contains(strings.Fields(refusedShards), req.Shard) {
+					return notRun(req, outcome.ReasonOverload), nil
+				}
+				return whole(req), nil
+			}}
+			g := newGateway(fixture(20, declare.ClassPartial), f, Options{Policy: Policy{Hedging: HedgeOff}})
+			g.Search(t.Context(), request(1))
+			for p, c := range g.concurrency {
+				if isCut := c.Limit() < c.max; isCut != (cut && Priority(p) == Normal) {
+					t.Errorf("%s refused: limit %.1f of priority %d", refusedShards, c.Limit(), p)
+				}
+			}
+		})
+	}
+}
