Cut the search limit only after two lost searches

Cause: one lost search cut the limit from 256 to 2 at an entry with one search in flight (seen in TestLossCutsOwnPriority), so that one cold replica could refuse the searches that follow.

Change: a cut needs 2 lost searches and 10% of those that ended within the last 0.5 to 1 s. It uses the windows that also decide the overload flag.

--- a/internal/gateway/concurrency.go
+++ b/internal/gateway/concurrency.go
@@ -18,6 +18,11 @@
 	// lossShare is the share of shards lost for load above which a partial
 	// search counts as lost. One hot shard must not keep the others idle.
 	lossShare = 0.1
+	// A cut needs cutCount lost searches and cutShare of those that ended
+	// within the window of refusals, so that one search that met a cold replica
+	// does not cut the limit.
+	cutCount = 2
+	cutShare = 0.1
 )
 
 // Concurrency is an adaptive limit of the searches of one priority in flight
@@ -30,6 +35,7 @@
 	limit    atomic.Uint64 // bits of a float64
 	inFlight atomic.Int64
 	cutAt    atomic.Int64 // Unix nanoseconds of the last decrease
+	losses   refusals
 }
 
 // NewConcurrency returns a Concurrency that starts at its upper bound.
@@ -55,6 +61,7 @@
 // before the last decrease say nothing of the present limit.
 func (c *Concurrency) Leave(started, now time.Time, lost bool) {
 	used := float64(c.inFlight.Add(-1) + 1)
+	mayCut := c.losses.note(now, lost, cutCount, cutShare)
 	bits := c.limit.Load()
 	limit := math.Float64frombits(bits)
 	cutAt := c.cutAt.Load()
@@ -66,7 +73,7 @@
 			// An increase never overwrites a concurrent decrease.
 			c.limit.CompareAndSwap(bits, math.Float64bits(min(limit+1/limit, c.max)))
 		}
-	case c.cutAt.CompareAndSwap(cutAt, now.UnixNano()):
+	case mayCut && c.cutAt.CompareAndSwap(cutAt, now.UnixNano()):
 		c.limit.Store(math.Float64bits(max(min(limit, used)*cutFactor, minConcurrency)))
 	}
 }
--- a/internal/gateway/concurrency_test.go
+++ b/internal/gateway/concurrency_test.go
@@ -105,7 +105,8 @@
 }
 
 // Guards against one hot shard that cuts the limit of partial searches, and
-// against refused browse searches that cut the limit of other priorities.
+// against refused browse searches that cut the limit of other priorities, and
+// against one lost search that cuts its own.
 func TestLossCutsOwnPriority(t *testing.T) {
 	for refusedShards, cut := range map[string]bool{"p0": false, "p0 p1 p2": true} {
 		synctest.Test(t, func(t *testing.T) {
@@ -117,6 +118,10 @@
 			}}
 			g := newGateway(fixture(20, declare.ClassPartial), f, Options{Policy: Policy{Hedging: HedgeOff}})
 			g.Search(t.Context(), request(1))
+			if limit := g.concurrency[Normal].Limit(); limit < g.concurrency[Normal].max {
+				t.Errorf("limit %.1f after one search", limit)
+			}
+			g.Search(t.Context(), request(2))
 			for p, c := range g.concurrency {
 				if isCut := c.Limit() < c.max; isCut != (cut && Priority(p) == Normal) {
 					t.Errorf("%s refused: limit %.1f of priority %d", refusedShards, c.Limit(), p)
--- a/internal/gateway/refusals.go
+++ b/internal/gateway/refusals.go
@@ -14,14 +14,15 @@
 	overloadCount = 5
 )
 
-// refusals counts attempts and refusals for load in the present and the
+// refusals counts attempts, or searches, and refusals for load in the present and the
 // previous window. A few counts may be lost when a window begins.
 type refusals struct {
 	windows [2]struct{ number, attempts, refused atomic.Int64 }
 }
 
-// note records the end of one attempt and reports overload.
-func (r *refusals) note(now time.Time, refused bool) bool {
+// note records the end of one attempt. It reports whether the attempt was
+// refused and with it at least count and share of all in the windows.
+func (r *refusals) note(now time.Time, refused bool, count int64, share float64) bool {
 	number := now.UnixNano() / int64(refusalWindow)
 	w := &r.windows[number%2]
 	if old := w.number.Load(); old != number && w.number.CompareAndSwap(old, number) {
@@ -40,13 +41,13 @@
 			lost += w.refused.Load()
 		}
 	}
-	return lost >= overloadCount && float64(lost) >= overloadShare*float64(all)
+	return lost >= count && float64(lost) >= share*float64(all)
 }
 
 // NoteAttempt records the end of one attempt. Hedges and retries stay off for
 // overloadTime if the share of refusals for load is high.
 func (b *Budget) NoteAttempt(now time.Time, refused bool) {
-	if b.refusals.note(now, refused) {
+	if b.refusals.note(now, refused, overloadCount, overloadShare) {
 		b.NoteOverload(now)
 	}
 }
