Measure round trips with heartbeats for the replica choice

Cause: the latency that an entry saw for a target within 3 s ran out for replicas behind a slow link, and the entry went back to them every 3 s with the assumed 8 ms; each search had two such sub-requests. Change: cost = latency at the holder + smoothed heartbeat round trip to it + wait.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -68,15 +68,16 @@
 // Membership exchanges heartbeats with the other instances and publishes them
 // in the Store. It is safe for concurrent use.
 type Membership struct {
-	logger    *log.Logger
-	self      Self
-	store     *state.Store
-	peers     Peers
-	sync      *Sync
-	freshness *Freshness
-	leases    Leases
-	pool      Pool
-	registry  Registry
+	roundTrips roundTrips
+	logger     *log.Logger
+	self       Self
+	store      *state.Store
+	peers      Peers
+	sync       *Sync
+	freshness  *Freshness
+	leases     Leases
+	pool       Pool
+	registry   Registry
 
 	mu       sync.Mutex
 	state    string
@@ -209,6 +210,7 @@
 	if !m.learn(from, now, true, reply.ConfigInForce) {
 		return
 	}
+	m.roundTrips.observe(from.Name, now.Sub(sentAt))
 	m.hear(address, heard{from.Name, reply.VersionsDigest, reply.KnownDigest, reply.HeldLoadsDigest})
 	m.learnKnown(reply.Known, now)
 	if from.Zone == m.self.Zone {
--- /dev/null
+++ b/internal/control/roundtrip.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// roundTrips smooths the round trip times of heartbeats by instance name.
+// Readers take no lock.
+type roundTrips struct {
+	mu      sync.Mutex
+	current atomic.Pointer[map[string]time.Duration]
+}
+
+// observe moves the smoothed value by a quarter towards a new one.
+func (r *roundTrips) observe(name string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := maps.Clone(r.load())
+	if next == nil {
+		next = map[string]time.Duration{}
+	}
+	if old, ok := next[name]; ok {
+		d = old + (d-old)/4
+	}
+	next[name] = d
+	r.current.Store(&next)
+}
+
+func (r *roundTrips) load() map[string]time.Duration {
+	if m := r.current.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// RoundTrips returns the smoothed round trip times of heartbeats by instance.
+// The caller must not change the map.
+func (m *Membership) RoundTrips() map[string]time.Duration { return m.roundTrips.load() }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 	})
 	d.dispatcher = dispatch.NewDispatcher(logger, scope, d.self.Name, d.store, d.freshness, dispatchRights{d.rights}, d.pool)
 	d.gateway = gateway.NewGateway(logger, d.store, d.freshness, d, d.route, peer.NotSent, gateway.Options{
-		Zone: d.self.Zone, MaxInFlight: s.Limits.MaxInFlight, Trace: s.Log.Trace, Scope: scope,
+		Zone: d.self.Zone, MaxInFlight: s.Limits.MaxInFlight, Trace: s.Log.Trace, Scope: scope, RoundTrips: d.membership.RoundTrips,
 		Policy: gateway.Policy{
 			Hedging:       gateway.Hedging(s.Policy.Hedging),
 			ReplicaChoice: gateway.ReplicaChoice(s.Policy.ReplicaChoice),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,13 +83,11 @@
 	}
 	switch e.code {
 	case outcome.Answered:
-		target.smooth(now, e.took)
 		g.stats.record(service, req.GetIdempotent(), now, e.took)
 	case outcome.NotRun:
 	default:
 		e.code = outcome.Unknown
 		if g.isSlow(ctx, service, e.took, now) {
-			target.smooth(now, e.took)
 			g.stats.record(service, req.GetIdempotent(), now, e.took)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,9 @@
 	// Trace logs the whole input of each plan.
 	Trace  bool
 	Policy Policy
+	// RoundTrips returns the measured round trips to other instances by name,
+	// in a map that is not changed any more; nil means none.
+	RoundTrips func() map[string]time.Duration
 	// Scope takes the metrics; nil drops them.
 	Scope tally.Scope
 }
@@ -29,16 +32,17 @@
 // Gateway answers searches and at-most-once requests of callers. It is safe
 // for concurrent use and takes no lock on the path of a request.
 type Gateway struct {
-	logger    *log.Logger
-	store     *state.Store
-	fresh     Freshness
-	executor  Executor
-	route     RouteFunc
-	notSent   NotSentFunc
-	zone      string
-	trace     bool
-	policy    Policy
-	admission *Admission
+	logger     *log.Logger
+	store      *state.Store
+	fresh      Freshness
+	executor   Executor
+	route      RouteFunc
+	notSent    NotSentFunc
+	zone       string
+	trace      bool
+	policy     Policy
+	roundTrips func() map[string]time.Duration
+	admission  *Admission
 	// concurrency has one limit per Priority.
 	concurrency [3]*Concurrency
 	budget      *Budget
@@ -61,7 +65,7 @@
 	}
 	g := &Gateway{
 		logger: logger, store: store, fresh: fresh, executor: executor, route: route, notSent: notSent,
-		zone: o.Zone, trace: o.Trace, policy: o.Policy.withDefaults(),
+		zone: o.Zone, roundTrips: o.RoundTrips, trace: o.Trace, policy: o.Policy.withDefaults(),
 		admission: NewAdmission(o.MaxInFlight), budget: &Budget{}, stats: &Stats{}, metrics: newMetrics(o.Scope.SubScope("gateway")),
 	}
 	for p := range g.concurrency {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -179,9 +179,21 @@
 	slices.Reverse(c)
 }
 
-// choice computes the expected time to an answer: the latency that this entry
-// saw, or else the one that the holder reports plus the delay to the zone, and
-// the wait behind the requests that exceed the limit.
+// roundTrip returns the time to the holder and back, which is assumed while no
+// heartbeat has measured it.
+func (p *planner) roundTrip(r replica) time.Duration {
+	if d, ok := p.in.Observed.RoundTrips[r.instance]; ok {
+		return d
+	}
+	if r.target.Zone != p.in.Zone {
+		return p.in.Policy.ZoneDelay
+	}
+	return 0
+}
+
+// choice computes the expected time to an answer: the latency that the holder
+// reports, the round trip to the holder, and the wait behind the requests that
+// exceed the limit.
 func (p *planner) choice(r replica) Choice {
 	obs := p.in.Observed.Targets[r.target.Name]
 	load, known := p.in.Snapshot.Loads[r.target.Name]
@@ -195,17 +207,10 @@
 	// The reported load lags, so the own requests in flight are a lower bound.
 	ahead := max(load.InFlight+load.Queued, obs.InFlight) + p.planned[r.target.Name]
 	service := cmp.Or(load.LatencyMicros, defaultLatencyMicros)
-	latency := obs.LatencyMicros
-	if latency == 0 {
-		latency = service
-		if r.target.Zone != p.in.Zone {
-			latency += p.in.Policy.ZoneDelay.Microseconds()
-		}
-	}
 	waiting := int64(max(ahead+1-limit, 0))
 	c := Choice{
 		Target: r.target.Name, Instance: r.instance,
-		CostMicros: latency + waiting*service/int64(limit),
+		CostMicros: service + p.roundTrip(r).Microseconds() + waiting*service/int64(limit),
 		Backlogged: load.Queued > r.slots,
 	}
 	switch load.Phase {
--- a/internal/gateway/planfilter.go
+++ b/internal/gateway/planfilter.go
@@ -47,6 +47,14 @@
 	})
 }
 
+func (g *Gateway) observe(v *view, services map[string]bool, now time.Time) Observed {
+	o := g.stats.observe(v, services, now)
+	if g.roundTrips != nil {
+		o.RoundTrips = g.roundTrips()
+	}
+	return o
+}
+
 func (g *Gateway) planInput(q *Query) PlanInput {
 	now := time.Now()
 	v := g.view(q.Snap)
@@ -59,7 +67,7 @@
 	in := PlanInput{
 		RequestID: q.RequestID, Search: q.Search.Name, Zone: g.zone, Now: now,
 		Policy: g.policy, Excluded: q.Excluded, Snapshot: q.Snap,
-		Observed: g.stats.observe(v, services, now), view: v,
+		Observed: g.observe(v, services, now), view: v,
 	}
 	if g.trace {
 		in.Routes = map[string]string{}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -69,7 +69,7 @@
 	now, v := time.Now(), g.view(snap)
 	in := PlanInput{
 		RequestID: requestID, Zone: g.zone, Now: now, Policy: g.policy, Snapshot: snap,
-		Observed: g.stats.observe(v, map[string]bool{service: true}, now), view: v,
+		Observed: g.observe(v, map[string]bool{service: true}, now), view: v,
 	}
 	p := planner{in: in, view: v, planned: map[string]int{}}
 	return p.order(state.Shard{ID: service, Service: service}, 0)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -12,10 +12,6 @@
 	// replyLoadLife is how long a load that came with a reply replaces the
 	// one in the snapshot, which lags by up to a few heartbeats.
 	replyLoadLife = 500 * time.Millisecond
-	// latencyLife is how long the latency seen by this entry counts. After it
-	// the one that the holder reports is used, so that a replica which was slow
-	// once is tried again.
-	latencyLife = 3 * time.Second
 	// exploreInterval is how often an entry prefers a cold replica to a warm one.
 	// Without it a replica that answers slowly while cold never gets the
 	// requests that warm it.
@@ -38,8 +34,6 @@
 
 type targetStats struct {
 	inFlight atomic.Int64
-	micros   atomic.Int64 // smoothed latency
-	seen     atomic.Int64 // Unix nanoseconds of the last sample
 	explored atomic.Int64 // Unix nanoseconds of the last plan that preferred it while cold
 	load     atomic.Pointer[timedLoad]
 }
@@ -99,29 +93,13 @@
 	return load.Incarnation == t.Incarnation && (load.Phase == state.PhaseCold || load.Phase == state.PhaseWarming)
 }
 
-// smooth moves the average by an eighth towards the new latency.
-func (t *targetStats) smooth(now time.Time, d time.Duration) {
-	t.seen.Store(now.UnixNano())
-	for {
-		old := t.micros.Load()
-		next := max(d.Microseconds(), 1)
-		if old != 0 {
-			next = max(old+(next-old)/8, 1)
-		}
-		if t.micros.CompareAndSwap(old, next) {
-			return
-		}
-	}
-}
-
 func (s *Stats) noteLacking(t state.Target, snapshot string, now time.Time) {
 	s.lacking.Store(lackKey{t.Name, t.Incarnation, snapshot}, now.Add(lackingLife).UnixNano())
 }
 
 // TargetObservation is what an entry knows of a target beside the snapshot.
 type TargetObservation struct {
-	InFlight      int   `json:"in_flight,omitempty"`
-	LatencyMicros int64 `json:"latency_micros,omitempty"`
+	InFlight int `json:"in_flight,omitempty"`
 	// Load came with a recent reply and replaces the one in the snapshot.
 	Load *state.Load `json:"load,omitempty"`
 	// Explore is set if it is time to try the replica while it is cold.
@@ -133,6 +111,8 @@
 // Observed are the statistics that a plan depends on.
 type Observed struct {
 	Targets map[string]TargetObservation `json:"targets"`
+	// RoundTrips are those of heartbeats to other instances, by name.
+	RoundTrips map[string]time.Duration `json:"round_trips,omitempty"`
 	// Turn is the position of round-robin.
 	Turn uint64 `json:"turn"`
 }
@@ -144,9 +124,6 @@
 		for _, r := range v.byService[service] {
 			t := s.target(r.target.Name)
 			obs := TargetObservation{InFlight: int(t.inFlight.Load())}
-			if now.UnixNano()-t.seen.Load() < int64(latencyLife) {
-				obs.LatencyMicros = t.micros.Load()
-			}
 			if l := t.load.Load(); l != nil && now.Sub(l.at) < replyLoadLife && l.load.Incarnation == r.target.Incarnation {
 				obs.Load = &l.load
 			}
