--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,8 @@
 	now := time.Now()
 	target.inFlight.Add(-1)
 	e := event{took: now.Sub(start)}
+	// Without the round trip, so that near and far replicas share one quantile.
+	behind := max(e.took-g.roundTrip(c.Instance), 0)
 	if err != nil {
 		e.code, e.reason = g.classify(ctx, err)
 	} else {
@@ -83,12 +85,12 @@
 	}
 	switch e.code {
 	case outcome.Answered:
-		g.stats.record(service, req.GetIdempotent(), now, e.took)
+		g.stats.record(service, req.GetIdempotent(), now, behind)
 	case outcome.NotRun:
 	default:
 		e.code = outcome.Unknown
-		if g.isSlow(ctx, service, e.took, now) {
-			g.stats.record(service, req.GetIdempotent(), now, e.took)
+		if g.isSlow(ctx, service, behind, now) {
+			g.stats.record(service, req.GetIdempotent(), now, behind)
 		}
 	}
 	g.budget.NoteAttempt(now, e.isLoadRefusal())
@@ -103,8 +105,8 @@
 	if ctx.Err() == nil {
 		return false
 	}
-	p95, ok := g.stats.p95(service, now)
-	return ok && took >= p95 || context.Cause(ctx) == context.DeadlineExceeded
+	quantile, ok := g.stats.quantile(service, now)
+	return ok && took >= quantile || context.Cause(ctx) == context.DeadlineExceeded
 }
 
 // classify turns an error of the executor into an outcome.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -10,19 +10,20 @@
 	maxHedgeWaits  = 3
 )
 
-// hedgeDelay returns the time after which a sub-request may be hedged.
-func (g *Gateway) hedgeDelay(service string, now time.Time) (time.Duration, bool) {
+// hedgeDelay returns the time after which a sub-request may be hedged: the
+// quantile of the time at the holder and the round trip to it.
+func (g *Gateway) hedgeDelay(service, instance string, now time.Time) (time.Duration, bool) {
 	switch g.policy.Hedging {
 	case HedgeOff:
 		return 0, false
 	case HedgeFixed:
 		return g.policy.FixedDelay, true
 	}
-	p95, ok := g.stats.p95(service, now)
+	quantile, ok := g.stats.quantile(service, now)
 	if !ok {
 		return coldHedgeDelay, true
 	}
-	return max(p95, minHedgeDelay), true
+	return max(quantile, minHedgeDelay) + g.roundTrip(instance), true
 }
 
 // sendHedges sends the hedges that are due. A hedge without a token waits for
@@ -46,7 +47,7 @@
 		}
 		if why := s.g.mayAddLoad(c, false); why != "" {
 			sh.next = next
-			if d, ok := s.g.hedgeDelay(sh.plan.Service, now); ok && sh.hedgeWaits < maxHedgeWaits {
+			if d, ok := s.g.hedgeDelay(sh.plan.Service, c.Instance, now); ok && sh.hedgeWaits < maxHedgeWaits {
 				sh.hedgeWaits++
 				sh.hedgeAt = now.Add(d)
 				s.g.logger.Debug().Str("request_id", s.q.RequestID).Str("shard", sh.plan.Shard).
--- a/internal/gateway/latency.go
+++ b/internal/gateway/latency.go
@@ -13,16 +13,19 @@
 	subBuckets   = 8
 	bucketCount  = 28 * subBuckets
 	quantileLife = 50 * time.Millisecond
+	// hedgePercent leaves 3 in 100 sub-requests to be hedged. The budget gives
+	// 4 tokens for 100, so it lasts for all of them.
+	hedgePercent = 97
 	// minSamples is the number of samples below which no quantile is given.
 	minSamples = 50
 	// minServiceSamples is minSamples for one service, which has the quantile of
 	// all services to fall back on. With 50 samples, three stragglers would put
-	// the 95th percentile among them.
+	// the quantile among them.
 	minServiceSamples = 200
 )
 
-// Latency is a histogram of the latencies of the last 16 s. Record and P95
-// are lock-free. A sample that arrives while its window is being recycled may
+// Latency is a histogram of the latencies of the last 16 s. Record and
+// Quantile are lock-free. A sample that arrives while its window is being recycled may
 // be lost.
 type Latency struct {
 	minSamples uint64 // zero means the constant minSamples
@@ -65,12 +68,13 @@
 	w.counts[bucketOf(d.Microseconds())].Add(1)
 }
 
-// P95 returns the 95th percentile, and false while there are too few samples.
+// Quantile returns the percentile of hedgePercent, and false while there are
+// too few samples.
 // The value is computed at most once in 50 ms.
-func (l *Latency) P95(now time.Time) (time.Duration, bool) {
+func (l *Latency) Quantile(now time.Time) (time.Duration, bool) {
 	nano := now.UnixNano()
 	if until := l.until.Load(); until <= nano && l.until.CompareAndSwap(until, nano+int64(quantileLife)) {
-		l.cached.Store(l.quantile(nano/int64(windowLength), 95))
+		l.cached.Store(l.quantile(nano/int64(windowLength), hedgePercent))
 	}
 	micros := l.cached.Load()
 	return time.Duration(micros) * time.Microsecond, micros > 0
--- a/internal/gateway/planfilter.go
+++ b/internal/gateway/planfilter.go
@@ -55,6 +55,14 @@
 	return o
 }
 
+// roundTrip returns the measured round trip to an instance, or zero.
+func (g *Gateway) roundTrip(instance string) time.Duration {
+	if g.roundTrips == nil {
+		return 0
+	}
+	return g.roundTrips()[instance]
+}
+
 func (g *Gateway) planInput(q *Query) PlanInput {
 	now := time.Now()
 	v := g.view(q.Snap)
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -132,7 +132,7 @@
 	sh.next = 1
 	s.send(i, sh.plan.Replicas[0], false)
 	if len(sh.plan.Replicas) > 1 {
-		if d, ok := s.g.hedgeDelay(sh.plan.Service, time.Now()); ok {
+		if d, ok := s.g.hedgeDelay(sh.plan.Service, sh.plan.Replicas[0].Instance, time.Now()); ok {
 			sh.hedgeAt = time.Now().Add(d)
 		}
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -59,14 +59,14 @@
 	}
 }
 
-// p95 returns the quantile of the service, or that of all searches while the
+// quantile returns the quantile of the service, or that of all searches while the
 // service has too few samples: an instance that gets a few searches a second
 // would otherwise send no hedge in time.
-func (s *Stats) p95(service string, now time.Time) (time.Duration, bool) {
-	if d, ok := s.service(service).P95(now); ok {
+func (s *Stats) quantile(service string, now time.Time) (time.Duration, bool) {
+	if d, ok := s.service(service).Quantile(now); ok {
 		return d, true
 	}
-	return s.searches.P95(now)
+	return s.searches.Quantile(now)
 }
 
 func (s *Stats) target(name string) *targetStats {
