--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -7,9 +7,9 @@
 
 // Values of Hedging.
 const (
-	HedgeP95   Hedging = "p95"
-	HedgeFixed Hedging = "fixed"
-	HedgeOff   Hedging = "off"
+	HedgeQuantile Hedging = "quantile"
+	HedgeFixed    Hedging = "fixed"
+	HedgeOff      Hedging = "off"
 )
 
 // ReplicaChoice says how a replica is chosen.
@@ -45,7 +45,7 @@
 
 func (p Policy) withDefaults() Policy {
 	if p.Hedging == "" {
-		p.Hedging = HedgeP95
+		p.Hedging = HedgeQuantile
 	}
 	if p.ReplicaChoice == "" {
 		p.ReplicaChoice = ChooseLoad
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -39,7 +39,7 @@
 		{"shutdown.drain_timeout", false, "10s", duration(&s.Shutdown.DrainTimeout, 100*time.Millisecond, 10*time.Minute)},
 		{"log.level", false, "info", oneOf(&s.Log.Level, "debug", "info", "warn", "error")},
 		{"log.trace", false, "false", boolean(&s.Log.Trace)},
-		{"policy.hedging", false, "p95", oneOf(&s.Policy.Hedging, "p95", "fixed", "off")},
+		{"policy.hedging", false, "quantile", oneOf(&s.Policy.Hedging, "quantile", "fixed", "off")},
 		{"policy.replica_choice", false, "load", oneOf(&s.Policy.ReplicaChoice, "load", "round-robin")},
 		{"policy.retries", false, "budget", oneOf(&s.Policy.Retries, "budget", "naive")},
 	}
