Use the placement's right in the dispatcher

Cause: the dispatcher had a copy of placement.Right, from the time when both were written side by side, and the daemon translated between them. Change: one type. Behaviour is the same; the package's tests pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,7 +87,7 @@
 		Self: d.self.Name, Zone: d.self.Zone, Store: d.store, Rights: d.rights,
 		Platform: d.platform, Pool: d.pool, Peers: d.conns, Apply: d.sync.Apply, Ready: d.isMember,
 	})
-	d.dispatcher = dispatch.NewDispatcher(logger, scope, d.self.Name, d.store, d.freshness, dispatchRights{d.rights}, d.pool)
+	d.dispatcher = dispatch.NewDispatcher(logger, scope, d.self.Name, d.store, d.freshness, d.rights, d.pool)
 	d.gateway = gateway.NewGateway(logger, d.store, d.freshness, d, d.route, peer.NotSent, gateway.Options{
 		Zone: d.self.Zone, MaxInFlight: s.Limits.MaxInFlight, Trace: s.Log.Trace, Scope: scope, RoundTrips: d.membership.RoundTrips,
 		Policy: gateway.Policy{
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/onceapi.go
@@ -4,10 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/baobabsill/baobabsill/internal/dispatch"
 	"github.com/baobabsill/baobabsill/internal/once"
 	"github.com/baobabsill/baobabsill/internal/outcome"
-	"github.com/baobabsill/baobabsill/internal/placement"
 )
 
 // onceAPI fits the at-most-once manager to the callers' API.
@@ -25,18 +23,3 @@
 
 // IssueKey returns a key that names this instance, or false while it stops.
 func (o onceAPI) IssueKey() (string, bool) { return o.manager.IssueKey() }
-
-// dispatchRights fits the placement's rights to the dispatcher.
-type dispatchRights struct{ rights *placement.Rights }
-
-var rightKinds = map[placement.Kind]dispatch.RightKind{
-	placement.None:        dispatch.RightNone,
-	placement.Provisional: dispatch.RightProvisional,
-	placement.Confirmed:   dispatch.RightConfirmed,
-}
-
-// Right returns the present right to send to a target.
-func (r dispatchRights) Right(target string, now time.Time) dispatch.Right {
-	right := r.rights.Right(target, now)
-	return dispatch.Right{Kind: rightKinds[right.Kind], Until: right.Until, Holder: right.Holder}
-}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,32 +13,14 @@
 	"github.com/baobabsill/baobabsill/declare"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/placement"
 	"github.com/baobabsill/baobabsill/internal/state"
 	"github.com/baobabsill/baobabsill/internal/target"
 )
 
-// RightKind says how far this instance may send to a target.
-type RightKind int
-
-// Kinds of a right.
-const (
-	RightNone RightKind = iota
-	// RightProvisional allows half the slots of targets that are known warm.
-	RightProvisional
-	RightConfirmed
-)
-
-// Right is the right to send to one target until a time. Holder names the
-// instance that should be asked instead of this one.
-type Right struct {
-	Kind   RightKind
-	Until  time.Time
-	Holder string
-}
-
 // Rights tells the present right of this instance.
 type Rights interface {
-	Right(target string, now time.Time) Right
+	Right(target string, now time.Time) placement.Right
 }
 
 // Freshness says whether the state of this instance was confirmed lately.
@@ -133,7 +115,7 @@
 	if reason != outcome.ReasonNone {
 		return outcome.Refused(reason), holderFor(reason, right)
 	}
-	if right.Kind == RightProvisional {
+	if right.Kind == placement.Provisional {
 		d.adoptReported(snap, t)
 	}
 	admit := func() (time.Time, int, outcome.Reason) {
@@ -141,7 +123,7 @@
 		if reason != outcome.ReasonNone {
 			return time.Time{}, 0, reason
 		}
-		if right.Kind != RightProvisional {
+		if right.Kind != placement.Provisional {
 			return right.Until, 0, outcome.ReasonNone
 		}
 		if l, ok := d.pool.Load(t.Name); !ok || l.Phase != state.PhaseWarm {
@@ -156,7 +138,7 @@
 	return r, holderFor(r.Reason, right)
 }
 
-func holderFor(reason outcome.Reason, r Right) string {
+func holderFor(reason outcome.Reason, r placement.Right) string {
 	if reason != outcome.ReasonNoRight {
 		return ""
 	}
@@ -164,30 +146,30 @@
 }
 
 // check decides whether a request may be sent to t now.
-func (d *Dispatcher) check(t state.Target, deadline time.Time) (Right, outcome.Reason) {
+func (d *Dispatcher) check(t state.Target, deadline time.Time) (placement.Right, outcome.Reason) {
 	now := time.Now()
 	if !deadline.After(now) {
-		return Right{}, outcome.ReasonExpired
+		return placement.Right{}, outcome.ReasonExpired
 	}
 	if d.fresh.Stale() {
 		// The pause came after Ensure; the entry asks again.
-		return Right{}, outcome.ReasonNoRight
+		return placement.Right{}, outcome.ReasonNoRight
 	}
 	snap := d.store.Load()
 	present, ok := snap.Targets[t.Name]
 	switch {
 	case !ok:
-		return Right{}, outcome.ReasonNoReplica
+		return placement.Right{}, outcome.ReasonNoReplica
 	case snap.IsZoneOut(present.Zone):
-		return Right{}, outcome.ReasonZoneOut
+		return placement.Right{}, outcome.ReasonZoneOut
 	case snap.IsLeaving(present):
-		return Right{}, outcome.ReasonLeaving
+		return placement.Right{}, outcome.ReasonLeaving
 	case present.Address != t.Address:
 		// The request was prepared for a process that is gone.
-		return Right{}, outcome.ReasonNoReplica
+		return placement.Right{}, outcome.ReasonNoReplica
 	}
 	right := d.rights.Right(t.Name, now)
-	if right.Kind == RightNone || !right.Until.After(now) {
+	if right.Kind == placement.None || !right.Until.After(now) {
 		return right, outcome.ReasonNoRight
 	}
 	return right, outcome.ReasonNone
@@ -228,7 +210,7 @@
 		}
 		p := snap.Placements[t.Zone]
 		holder := p.Holders[t.Name]
-		if holder == "" || holder == d.self || d.rights.Right(t.Name, now).Kind != RightNone {
+		if holder == "" || holder == d.self || d.rights.Right(t.Name, now).Kind != placement.None {
 			continue
 		}
 		if p.Previous[t.Name] == d.self {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -12,15 +12,16 @@
 	"github.com/baobabsill/baobabsill/declare"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/placement"
 	"github.com/baobabsill/baobabsill/internal/state"
 	"github.com/baobabsill/baobabsill/internal/target"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-type fakeRights struct{ right Right }
+type fakeRights struct{ right placement.Right }
 
-func (f *fakeRights) Right(string, time.Time) Right { return f.right }
+func (f *fakeRights) Right(string, time.Time) placement.Right { return f.right }
 
 // fakePool calls admit after wait, as the real one does under the slot.
 type fakePool struct {
@@ -83,7 +84,7 @@
 
 func newRig() *rig {
 	r := &rig{fresh: &fakeFreshness{}, store: state.NewStore(), pool: &fakePool{},
-		rights: &fakeRights{Right{Kind: RightConfirmed, Until: time.Now().Add(time.Second)}}}
+		rights: &fakeRights{placement.Right{Kind: placement.Confirmed, Until: time.Now().Add(time.Second)}}}
 	r.store.Update(func(n *state.Snapshot) {
 		n.Config = declare.Document{Zones: []declare.Zone{{Name: "z"}}, Services: []declare.Service{{Name: "s", Slots: 4, BearsCold: 1}}}
 		n.Targets = map[string]state.Target{"t": {Name: "t", Service: "s", Zone: "z", Address: "10.0.0.1:1", Incarnation: "i1"}}
@@ -109,7 +110,7 @@
 		}),
 		"leaving by configuration": r.update(func(n *state.Snapshot) { n.Config.RetiredTargets = []string{"t"} }),
 		"no-replica":               r.update(func(n *state.Snapshot) { n.Targets = map[string]state.Target{} }),
-		"no-right":                 func() { r.rights.right.Kind, r.rights.right.Holder = RightNone, "other" },
+		"no-right":                 func() { r.rights.right.Kind, r.rights.right.Holder = placement.None, "other" },
 		"no-right any more":        func() { r.rights.right.Until, r.rights.right.Holder = time.Now(), "other" },
 		"expired":                  func() { time.Sleep(500 * time.Millisecond) },
 		"malformed operation":      func() { r.req.Operation = "../health" },
@@ -178,7 +179,7 @@
 	}
 	for name, c := range cases {
 		r := newRig()
-		r.rights.right.Kind = RightProvisional
+		r.rights.right.Kind = placement.Provisional
 		r.store.Update(func(n *state.Snapshot) { n.Config.Services = []declare.Service{{Name: "s", Slots: c.slots}} })
 		if c.reported != "" {
 			r.update(func(n *state.Snapshot) {
@@ -216,12 +217,12 @@
 			})
 			synctest.Wait()
 		}
-		r.rights.right.Kind = RightProvisional
+		r.rights.right.Kind = placement.Provisional
 		move(nil)
 		if len(r.pool.released) != 0 {
 			t.Error("released with a provisional right")
 		}
-		r.rights.right.Kind = RightNone
+		r.rights.right.Kind = placement.None
 		move(map[string]string{"t": r.d.self})
 		if len(r.pool.released) != 0 {
 			t.Error("released before the handover")
