Give the silent logger and the result counters one home

Cause: seven packages had their own silent logger, and dispatch and target each had the same counters by outcome and reason. Change: packages logs and outcome.Counters. Behaviour is the same; vet, staticcheck and all tests of internal pass.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/baobabsill/baobabsill/declare"
 	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/state"
 	"github.com/baobabsill/baobabsill/internal/status"
@@ -294,7 +295,7 @@
 	http.DefaultClient.CloseIdleConnections()
 	redirectHertzLog(logger)
 	hlog.Warnf("slow %d", 7)
-	redirectHertzLog(orSilent(nil))
+	redirectHertzLog(logs.OrDiscard(nil))
 	var line map[string]any
 	if err := json.Unmarshal(out.Bytes(), &line); err != nil || line["message"] != "slow 7" || line["level"] != "warn" {
 		t.Errorf("log line %s: %v", out.Bytes(), err)
--- a/internal/api/hertzlog.go
+++ b/internal/api/hertzlog.go
@@ -9,6 +9,8 @@
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
 // hertzLog writes Hertz's own log into the JSON log. Notice maps to info, and
@@ -21,7 +23,7 @@
 // without synchronization while servers run. Its destination may change.
 var processHertzLog = sync.OnceValue(func() *hertzLog {
 	h := &hertzLog{}
-	h.logger.Store(orSilent(nil))
+	h.logger.Store(logs.OrDiscard(nil))
 	hlog.SetLogger(h)
 	hlog.SetSystemLogger(h)
 	return h
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -9,12 +9,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
 // NewMetrics returns a scope, the handler that serves its metrics in the
 // Prometheus format, and a closer that stops the reporting.
 func NewMetrics(logger *log.Logger) (tally.Scope, http.Handler, io.Closer) {
-	logger = orSilent(logger)
+	logger = logs.OrDiscard(logger)
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer: registry, Gatherer: registry,
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/status"
 )
@@ -100,18 +100,11 @@
 // NewServer returns a Server. It makes logger the destination of Hertz's own
 // log, which is one per process.
 func NewServer(logger *log.Logger, o Options, searcher Searcher, once Once, status StatusSource) *Server {
-	logger = orSilent(logger)
+	logger = logs.OrDiscard(logger)
 	redirectHertzLog(logger)
 	return &Server{logger: logger, o: o.withDefaults(), searcher: searcher, once: once, status: status}
 }
 
-func orSilent(logger *log.Logger) *log.Logger {
-	if logger == nil {
-		return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	}
-	return logger
-}
-
 // Listen binds the address, so that callers can connect before Run. Run calls
 // it if it was not called.
 func (s *Server) Listen() (net.Addr, error) {
--- a/internal/control/freshness.go
+++ b/internal/control/freshness.go
@@ -7,6 +7,8 @@
 
 	"github.com/phuslu/log"
 	"golang.org/x/sync/singleflight"
+
+	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
 const (
@@ -33,7 +35,7 @@
 
 // NewFreshness returns a gate without any confirmation.
 func NewFreshness(logger *log.Logger) *Freshness {
-	return &Freshness{logger: orDiscard(logger)}
+	return &Freshness{logger: logs.OrDiscard(logger)}
 }
 
 // OnRefresh adds a function that asks somebody to confirm the state; it calls
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
@@ -95,7 +96,7 @@
 // NewMembership returns a Membership in the state "starting".
 func NewMembership(logger *log.Logger, self Self, store *state.Store, peers Peers, s *Sync, f *Freshness, leases Leases, pool Pool, registry Registry) *Membership {
 	return &Membership{
-		logger: orDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
+		logger: logs.OrDiscard(logger), self: self, store: store, peers: peers, sync: s, freshness: f,
 		leases: leases, pool: pool, registry: registry, state: StateStarting,
 		members: map[string]*member{}, records: map[string]int64{}, heard: map[string]heard{}, held: map[string]heldLoads{},
 		selfAt:       map[string]bool{self.PeerAddress: true},
--- a/internal/control/self.go
+++ b/internal/control/self.go
@@ -4,11 +4,8 @@
 package control
 
 import (
-	"io"
 	"slices"
 
-	"github.com/phuslu/log"
-
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
@@ -42,10 +39,3 @@
 type Peers interface {
 	Client(address string) peerpb.Peer
 }
-
-func orDiscard(logger *log.Logger) *log.Logger {
-	if logger == nil {
-		return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	}
-	return logger
-}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
@@ -61,7 +62,7 @@
 // NewSync returns a Sync that knows nothing yet.
 func NewSync(logger *log.Logger, self Self, store *state.Store, p Platform, peers Peers, f *Freshness) *Sync {
 	return &Sync{
-		logger: orDiscard(logger), self: self, store: store, platform: p, peers: peers, freshness: f,
+		logger: logs.OrDiscard(logger), self: self, store: store, platform: p, peers: peers, freshness: f,
 		push: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		objects: map[objectKey]platform.Object{}, rejected: map[objectKey]int64{}, behind: map[string]bool{},
 	}
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
@@ -84,7 +85,7 @@
 
 // NewTargetList returns a TargetList.
 func NewTargetList(logger *log.Logger, self Self, store *state.Store, s *Sync, lister InstanceLister) *TargetList {
-	return &TargetList{logger: orDiscard(logger), self: self, store: store, sync: s, lister: lister, entries: map[string]*targetEntry{}, views: map[string]targetView{}}
+	return &TargetList{logger: logs.OrDiscard(logger), self: self, store: store, sync: s, lister: lister, entries: map[string]*targetEntry{}, views: map[string]targetView{}}
 }
 
 // Run polls and merges until ctx ends.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/placement"
@@ -58,9 +59,7 @@
 // NewDispatcher returns a Dispatcher of the instance named self. A nil logger
 // is silent; a nil scope drops the metrics.
 func NewDispatcher(logger *log.Logger, scope tally.Scope, self string, store *state.Store, fresh Freshness, rights Rights, pool Pool) *Dispatcher {
-	if logger == nil {
-		logger = &log.Logger{Level: log.PanicLevel + 1}
-	}
+	logger = logs.OrDiscard(logger)
 	return &Dispatcher{log: logger, self: self, store: store, fresh: fresh, rights: rights, pool: pool, metrics: newMetrics(scope)}
 }
 
@@ -71,7 +70,7 @@
 	d.metrics.running.Update(float64(d.metrics.inFlight.Add(1)))
 	r, holder := d.execute(ctx, req)
 	d.metrics.running.Update(float64(d.metrics.inFlight.Add(-1)))
-	d.metrics.count(r)
+	d.metrics.results.Count(r)
 
 	reply := &peerpb.ExecuteReply{
 		AttemptId: req.AttemptId, Outcome: string(r.Code), Reason: string(r.Reason), Body: r.Body, Holder: holder,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
@@ -54,9 +54,7 @@
 
 // NewGateway returns a Gateway.
 func NewGateway(logger *log.Logger, store *state.Store, fresh Freshness, executor Executor, route RouteFunc, notSent NotSentFunc, o Options) *Gateway {
-	if logger == nil {
-		logger = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	}
+	logger = logs.OrDiscard(logger)
 	if o.MaxInFlight == 0 {
 		o.MaxInFlight = 256
 	}
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -14,6 +14,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
@@ -50,7 +51,7 @@
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
-	return &Conns{logger: orDiscard(logger), dialer: dialer, peers: map[string]*peerConn{}}
+	return &Conns{logger: logs.OrDiscard(logger), dialer: dialer, peers: map[string]*peerConn{}}
 }
 
 // Client returns the client of the peer at address (IP:port). It connects when
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
@@ -32,7 +32,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Server{
-		logger:  orDiscard(logger),
+		logger:  logs.OrDiscard(logger),
 		address: address,
 		http: &http.Server{
 			Handler:           peerpb.NewPeerServer(service),
@@ -91,10 +91,3 @@
 	}
 	return err
 }
-
-func orDiscard(logger *log.Logger) *log.Logger {
-	if logger == nil {
-		return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	}
-	return logger
-}
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 	"github.com/baobabsill/baobabsill/internal/platform"
 	"github.com/baobabsill/baobabsill/internal/state"
@@ -78,9 +78,7 @@
 
 // NewController returns a Controller.
 func NewController(logger *log.Logger, config Config) *Controller {
-	if logger == nil {
-		logger = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	}
+	logger = logs.OrDiscard(logger)
 	return &Controller{
 		config: config, logger: logger, plan: newPlanner(config.Self, config.Zone),
 		handovers: map[string]bool{}, adopted: map[string]int64{},
--- a/internal/target/metrics.go
+++ b/internal/target/metrics.go
@@ -9,44 +9,23 @@
 	"github.com/baobabsill/baobabsill/internal/state"
 )
 
-type resultKey struct {
-	code   outcome.Code
-	reason outcome.Reason
-}
-
 // gauges of one target.
 type gauges struct{ queued, limit, inFlight, phase tally.Gauge }
 
 type metrics struct {
-	scope tally.Scope
+	scope   tally.Scope
+	results *outcome.Counters
 
-	mu       sync.RWMutex
-	counters map[resultKey]tally.Counter
-	targets  map[string]gauges
+	mu      sync.Mutex
+	targets map[string]gauges
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &metrics{scope: scope.SubScope("target"), counters: map[resultKey]tally.Counter{}, targets: map[string]gauges{}}
-}
-
-// count counts a request by outcome and reason.
-func (m *metrics) count(r outcome.Result) {
-	key := resultKey{r.Code, r.Reason}
-	m.mu.RLock()
-	c, ok := m.counters[key]
-	m.mu.RUnlock()
-	if !ok {
-		m.mu.Lock()
-		if c, ok = m.counters[key]; !ok {
-			c = m.scope.Tagged(map[string]string{"outcome": string(r.Code), "reason": string(r.Reason)}).Counter("requests")
-			m.counters[key] = c
-		}
-		m.mu.Unlock()
-	}
-	c.Inc(1)
+	scope = scope.SubScope("target")
+	return &metrics{scope: scope, results: outcome.NewCounters(scope), targets: map[string]gauges{}}
 }
 
 var phaseNumber = map[state.Phase]float64{
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
@@ -56,9 +57,7 @@
 // NewPool returns an empty Pool. A nil logger is silent; a nil scope drops the
 // metrics.
 func NewPool(logger *log.Logger, scope tally.Scope, opts Options) *Pool {
-	if logger == nil {
-		logger = &log.Logger{Level: log.PanicLevel + 1}
-	}
+	logger = logs.OrDiscard(logger)
 	if opts.DialTimeout <= 0 {
 		opts.DialTimeout = time.Second
 	}
@@ -78,7 +77,7 @@
 	b := p.use(t, svc)
 	defer b.users.Add(-1)
 	r := b.do(ctx, w, admit)
-	p.metrics.count(r)
+	p.metrics.results.Count(r)
 	return r
 }
 
