--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -69,7 +69,6 @@
 // Membership exchanges heartbeats with the other instances and publishes them
 // in the Store. It is safe for concurrent use.
 type Membership struct {
-	roundTrips roundTrips
 	logger     *log.Logger
 	self       Self
 	store      *state.Store
@@ -79,6 +78,7 @@
 	leases     Leases
 	pool       Pool
 	registry   Registry
+	roundTrips roundTrips
 
 	mu       sync.Mutex
 	state    string
@@ -354,6 +354,7 @@
 			delete(m.members, name)
 			delete(m.heard, p.PeerAddress)
 			delete(m.held, name)
+			m.roundTrips.forget(name)
 		}
 	}
 	m.mu.Unlock()
--- a/internal/control/roundtrip.go
+++ b/internal/control/roundtrip.go
@@ -29,6 +29,15 @@
 	r.current.Store(&next)
 }
 
+// forget drops an instance that is gone.
+func (r *roundTrips) forget(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := maps.Clone(r.load())
+	delete(next, name)
+	r.current.Store(&next)
+}
+
 func (r *roundTrips) load() map[string]time.Duration {
 	if m := r.current.Load(); m != nil {
 		return *m
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -47,14 +47,7 @@
 		}
 		if why := s.g.mayAddLoad(c, false); why != "" {
 			sh.next = next
-			if d, ok := s.g.hedgeDelay(sh.plan.Service, c.Instance, now); ok && sh.hedgeWaits < maxHedgeWaits {
-				sh.hedgeWaits++
-				sh.hedgeAt = now.Add(d)
-				s.g.logger.Debug().Str("request_id", s.q.RequestID).Str("shard", sh.plan.Shard).
-					Str("target", c.Target).Str("reason", why).Dur("wait", d).Msg("hedge put off")
-			} else {
-				s.logRefused(i, "hedge", c, why)
-			}
+			s.putOffHedge(i, c, why, now)
 			continue
 		}
 		sh.hedged = true
@@ -63,3 +56,17 @@
 		s.send(i, c, true)
 	}
 }
+
+// putOffHedge schedules a refused hedge once more, or gives it up.
+func (s *scatterRun) putOffHedge(i int, c Choice, why string, now time.Time) {
+	sh := &s.shards[i]
+	d, ok := s.g.hedgeDelay(sh.plan.Service, c.Instance, now)
+	if !ok || sh.hedgeWaits >= maxHedgeWaits {
+		s.logRefused(i, "hedge", c, why)
+		return
+	}
+	sh.hedgeWaits++
+	sh.hedgeAt = now.Add(d)
+	s.g.logger.Debug().Str("request_id", s.q.RequestID).Str("shard", sh.plan.Shard).
+		Str("target", c.Target).Str("reason", why).Dur("wait", d).Msg("hedge put off")
+}
