--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -12,16 +12,17 @@
 // leaveTimeout bounds the removal of the own object from the platform.
 const leaveTimeout = 2 * time.Second
 
+// arrivalGrace is how long sub-requests are still served that peers sent before
+// they heard that the instance stops. It is far above the delay between zones.
+const arrivalGrace = 100 * time.Millisecond
+
 // shutdown stops the instance in an order that refuses nothing which could
 // have been served: readiness goes first, then the targets pass to their new
 // holders while requests still arrive, and the sockets close last.
 func (d *Daemon) shutdown(force context.Context) error {
 	d.membership.SetState(control.StateDraining)
 	d.logger.Info().Str("event", "drain").Msg("instance drains")
-	select {
-	case <-time.After(d.settings.Shutdown.DrainDelay):
-	case <-force.Done():
-	}
+	pause(force, d.settings.Shutdown.DrainDelay)
 
 	ctx, cancel := context.WithTimeout(force, d.settings.Shutdown.DrainTimeout)
 	defer cancel()
@@ -40,6 +41,7 @@
 	// During an outage of the platform the placement still names this instance.
 	d.membership.SetState(control.StateStopping)
 	d.membership.Refresh(leave)
+	pause(force, arrivalGrace)
 	failed.Add(named("peer requests", d.peers.Shutdown(ctx)))
 	if force.Err() != nil {
 		return Error.New("shutdown cut short by a second signal: %v", failed.Err())
@@ -53,6 +55,14 @@
 	return nil
 }
 
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func named(step string, err error) error {
 	if err == nil {
 		return nil
