--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,4 +90,3 @@
 	}
 	return r
 }
-
