--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabsill/baobabsill/internal/daemon"
 	"github.com/baobabsill/baobabsill/internal/settings"
+	"github.com/baobabsill/baobabsill/platform"
 )
 
 const version = "0.1.0"
@@ -31,22 +32,28 @@
 	check := app.Command("check-config", "Check a settings file and open nothing.")
 	checkConfig := check.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
 
+	edgeCommand := app.Command("edge", "Serve on the users' platform until SIGTERM or SIGINT.")
+	edgeConfig := edgeCommand.Flag("config", "Settings file (INI).").Envar(platform.SettingsEnv).Required().PlaceHolder("FILE").String()
+
 	command, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "baobabsill: %v, try --help\n", err)
 		os.Exit(exitBadInput)
 	}
-	if command == check.FullCommand() {
-		load(*checkConfig)
+	switch command {
+	case check.FullCommand():
+		load(*checkConfig, settings.Load)
 		fmt.Printf("%s: ok\n", *checkConfig)
-		return
+	case edgeCommand.FullCommand():
+		os.Exit(serveEdge(*edgeConfig))
+	default:
+		os.Exit(serve(load(*runConfig, settings.Load)))
 	}
-	os.Exit(serve(load(*runConfig)))
 }
 
 // load reads the settings and ends the process if there is any fault.
-func load(path string) settings.Settings {
-	s, faults := settings.Load(path)
+func load[T any](path string, read func(string) (T, []error)) T {
+	s, faults := read(path)
 	for _, fault := range faults {
 		fmt.Fprintln(os.Stderr, fault)
 	}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/listener"
 	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/status"
@@ -39,9 +40,6 @@
 	Status() status.Document
 }
 
-// shutdownTick is how often Shutdown looks for connections that became idle.
-const shutdownTick = 5 * time.Millisecond
-
 // Options are the settings of a Server. Zero values mean the defaults.
 type Options struct {
 	// Listen is the IP address and port.
@@ -93,7 +91,7 @@
 	status   StatusSource
 
 	mu       sync.Mutex
-	listener *trackingListener
+	listener *listener.Listener
 	engine   *server.Hertz
 }
 
@@ -115,7 +113,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.listener = &trackingListener{Listener: ln, readTimeout: s.o.ReadTimeout, conns: map[*trackedConn]struct{}{}}
+		s.listener = listener.New(ln, s.o.ReadTimeout, readRefusal)
 	}
 	return s.listener.Addr(), nil
 }
@@ -145,7 +143,7 @@
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		s.listener.Close() //nolint:errcheck // a second close has no effect
-		s.listener.closeConns()
+		s.listener.CloseConns()
 	})
 	defer stop()
 	return h.Run()
@@ -161,22 +159,11 @@
 	if ln == nil {
 		return nil
 	}
-	ln.Close() //nolint:errcheck // a second close has no effect
 	if h != nil {
 		// From here on, Hertz closes a connection after its answer.
 		go h.Shutdown(ctx) //nolint:errcheck // the connections tell when it is done
 	}
-	tick := time.NewTicker(shutdownTick)
-	defer tick.Stop()
-	for ln.closeIdle() > 0 {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			ln.closeConns()
-			return ctx.Err()
-		}
-	}
-	return nil
+	return ln.Drain(ctx)
 }
 
 func (s *Server) routes(h *server.Hertz) {
--- /dev/null
+++ b/internal/edge/daemon.go
@@ -0,0 +1,202 @@
+// Package edge wires an instance on the users' platform and runs it from start
+// to graceful shutdown.
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/baobabsill/baobabsill/internal/api"
+	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/follow"
+	"github.com/baobabsill/baobabsill/internal/forward"
+	"github.com/baobabsill/baobabsill/internal/ingress"
+	"github.com/baobabsill/baobabsill/internal/replica"
+	"github.com/baobabsill/baobabsill/internal/settings"
+	"github.com/baobabsill/baobabsill/platform"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("edge")
+
+// Daemon is one instance.
+type Daemon struct {
+	logger   *log.Logger
+	settings settings.Edge
+
+	catalog   *catalog.Store
+	store     *platform.Store
+	link      *follow.Link
+	pool      *replica.Pool
+	forwarder *forward.Forwarder
+	server    *ingress.Server
+	ready     *ingress.Admin
+	operators *ingress.Admin
+	metrics   io.Closer
+	stopping  atomic.Bool
+	wasReady  atomic.Bool
+	runners   []func(context.Context) error
+}
+
+// New wires an instance and opens its listeners.
+func New(logger *log.Logger, s settings.Edge) (*Daemon, error) {
+	host, _, err := net.SplitHostPort(s.CallerListen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	source := net.ParseIP(host)
+	scope, metricsHandler, closer := api.NewMetrics(logger)
+	d := &Daemon{
+		logger: logger, settings: s, metrics: closer,
+		catalog: catalog.NewStore(returnHeartbeats * s.Heartbeat),
+		store:   platform.NewStore(s.PlatformAddress, source),
+		link:    follow.NewLink(logger),
+		pool:    replica.NewPool(platform.NewReplicas(source).Dial),
+	}
+	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, forward.Options{
+		Place:      forward.Place{Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Zones},
+		Shares:     forward.Shares{Self: s.Name, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack},
+		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MaxInFlight: s.MaxInFlight,
+	})
+	if d.server, err = ingress.NewServer(logger, s.CallerListen, platform.Ingress{}, d.forwarder, d.limits); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if d.ready, err = ingress.NewAdmin(s.ReadyListen, ingress.AdminOptions{ReadyPath: platform.ReadyPath, Ready: d.isReady}); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if d.operators, err = ingress.NewAdmin(s.MetricsListen, ingress.AdminOptions{Metrics: metricsHandler, Status: d.status}); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	d.follow()
+	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.retain)
+	return d, nil
+}
+
+const (
+	// returnHeartbeats is the number of heartbeats for which the replicas of a
+	// zone count as cold after its evacuation: their next reports tell.
+	returnHeartbeats = 2
+	// watchShare is the part of the contact time that a watch waits, so that a
+	// silent store is noticed and read again within the contact time.
+	watchShare = 0.5
+	// daemonGather is the pause between two readings of the list of daemons,
+	// which changes at each start of an instance.
+	daemonGather = 2 * time.Second
+	// replicaGather is the pause between two readings of the changes of
+	// replicas, which come in groups.
+	replicaGather = 50 * time.Millisecond
+)
+
+// follow adds the controllers that follow the store.
+func (d *Daemon) follow() {
+	wait := time.Duration(watchShare * float64(d.settings.Contact))
+	replicas := follow.NewReplicaSink(d.logger, d.catalog, d.link)
+	d.runners = append(d.runners, replicas.Run,
+		follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
+			follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, wait, 0).Run,
+		follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), replicas, wait, replicaGather).Run,
+		follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
+			follow.NewZoneSink(d.logger, d.catalog), wait, 0).Run,
+		func(ctx context.Context) error {
+			if err := follow.Register(ctx, d.logger, d.link, d.store, d.settings.Name); err != nil {
+				return err
+			}
+			return follow.NewFollower(d.logger, "daemons", d.link, d.store.Daemons(),
+				follow.NewDaemonSink(d.logger, d.catalog, d.settings.Name), wait, daemonGather).Run(ctx)
+		},
+	)
+}
+
+// Run serves until stop ends and then shuts down gracefully. force cuts the
+// shutdown short.
+func (d *Daemon) Run(stop, force context.Context) error {
+	d.logger.Info().Str("event", "start").Str("zone", d.settings.Zone).Str("region", d.settings.Region).
+		Str("callers", d.settings.CallerListen).Str("platform", d.settings.PlatformAddress).Msg("instance starts")
+	ctx, cancel := context.WithCancel(context.WithoutCancel(force))
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, run := range d.runners {
+		group.Go(func() error {
+			if err := run(ctx); err != nil && ctx.Err() == nil {
+				return err
+			}
+			return nil
+		})
+	}
+	select {
+	case <-stop.Done():
+	case <-ctx.Done(): // a server failed
+		return group.Wait()
+	}
+	err := d.shutdown(force)
+	cancel()
+	d.pool.Close()
+	d.store.Close()
+	return errs.Combine(err, group.Wait(), d.metrics.Close())
+}
+
+// isReady reports whether the balancer may send callers here.
+func (d *Daemon) isReady() bool {
+	snap := d.catalog.Load()
+	ready := snap.Config != nil && snap.ReplicasKnown && !d.stopping.Load()
+	if d.wasReady.Swap(ready) != ready {
+		d.logger.Info().Str("event", "ready").Bool("ready", ready).Int("replicas", snap.Count()).Msg("readiness changed")
+	}
+	return ready
+}
+
+func (d *Daemon) limits() ingress.Limits {
+	c := d.catalog.Load().Config
+	if c == nil {
+		return ingress.Limits{}
+	}
+	return ingress.Limits{HeaderBytes: c.Limits.HeaderBytes, BodyBytes: c.Limits.BodyBytes, Idle: c.Limits.IdleTimeout}
+}
+
+// retainInterval is how often the clients of replicas that have gone are closed.
+const retainInterval = time.Second
+
+func (d *Daemon) retain(ctx context.Context) error {
+	ticker := time.NewTicker(retainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.pool.Retain(d.catalog.Load())
+		}
+	}
+}
+
+// Document is the state that an operator sees.
+type Document struct {
+	Instance      string           `json:"instance"`
+	Zone          string           `json:"zone"`
+	Ready         bool             `json:"ready"`
+	ConfigVersion int64            `json:"config_version"`
+	StoreLost     bool             `json:"store_lost"`
+	Evacuated     []string         `json:"evacuated"`
+	Daemons       []string         `json:"daemons"`
+	InFlight      int64            `json:"in_flight"`
+	Replicas      []replica.Report `json:"replicas"`
+}
+
+func (d *Daemon) status() any {
+	snap := d.catalog.Load()
+	doc := Document{
+		Instance: d.settings.Name, Zone: d.settings.Zone, Ready: d.isReady(), StoreLost: d.link.Lost(),
+		Evacuated: snap.Evacuated(), Daemons: snap.Daemons, InFlight: d.forwarder.InFlight(), Replicas: d.pool.Reports(time.Now()),
+	}
+	if snap.Config != nil {
+		doc.ConfigVersion = snap.Config.Version
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/follow/daemons.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
+)
+
+// Registry holds one object a daemon.
+type Registry interface {
+	// Register creates the object of a daemon; it may exist.
+	Register(ctx context.Context, name string) error
+	// Deregister removes the object of a daemon; it may be missing.
+	Deregister(ctx context.Context, name string) error
+}
+
+// DaemonSink keeps the list of daemons.
+type DaemonSink struct {
+	logger *log.Logger
+	store  *catalog.Store
+	self   string
+	names  map[string]bool
+}
+
+// NewDaemonSink returns a DaemonSink of the daemon self, which always counts.
+func NewDaemonSink(logger *log.Logger, store *catalog.Store, self string) *DaemonSink {
+	return &DaemonSink{logger: logger, store: store, self: self, names: map[string]bool{}}
+}
+
+// Replace implements Sink.
+func (s *DaemonSink) Replace(items []Item[struct{}]) {
+	clear(s.names)
+	for _, item := range items {
+		s.names[item.Name] = true
+	}
+	s.publish()
+}
+
+// Apply implements Sink.
+func (s *DaemonSink) Apply(changes []Change[struct{}]) {
+	for _, c := range changes {
+		if c.Deleted {
+			delete(s.names, c.Name)
+		} else {
+			s.names[c.Name] = true
+		}
+	}
+	s.publish()
+}
+
+func (s *DaemonSink) publish() {
+	s.names[s.self] = true
+	names := slices.Sorted(maps.Keys(s.names))
+	if slices.Equal(names, s.store.Load().Daemons) {
+		return
+	}
+	s.store.SetDaemons(names)
+	s.logger.Info().Str("event", "daemons").Int("daemons", len(names)).Msg("list of daemons changed")
+}
+
+// Register writes the object of this daemon until the store has taken it.
+func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name string) error {
+	for ctx.Err() == nil {
+		err := link.call(ctx, "daemons", func(ctx context.Context) error { return registry.Register(ctx, name) })
+		if err == nil {
+			logger.Info().Str("event", "registered").Msg("the daemon is listed")
+			return nil
+		}
+	}
+	return nil
+}
+
+// deregisterTimeout bounds the removal of the daemon's object at its stop.
+const deregisterTimeout = 500 * time.Millisecond
+
+// Deregister removes the object of this daemon. If the store does not answer,
+// the object stays and the shares of the others stay smaller than they could be.
+func Deregister(logger *log.Logger, registry Registry, name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := registry.Deregister(ctx, name); err != nil {
+		logger.Warn().Err(err).Msg("the daemon stays listed")
+	}
+}
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,90 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// errRetry says that a call was not made because the state of the link changed.
+var errRetry = errors.New("link changed")
+
+func isOutage(err error) bool { return err != nil && !errors.Is(err, ErrHistoryGone) }
+
+// probeWait is the wait of the watch that tries a lost link: short, because only
+// its answer shows that the store is back.
+const probeWait = 100 * time.Millisecond
+
+// Follower follows one kind of object.
+type Follower[T any] struct {
+	logger *log.Logger
+	kind   string
+	link   *Link
+	source Source[T]
+	sink   Sink[T]
+	wait   time.Duration
+	gather time.Duration
+}
+
+// NewFollower returns a Follower. wait is the longest time that a watch waits
+// for a change; a silent store is noticed after it. gather is the pause after
+// changes in which further ones gather, because each call has a price.
+func NewFollower[T any](logger *log.Logger, kind string, link *Link, source Source[T], sink Sink[T], wait, gather time.Duration) *Follower[T] {
+	return &Follower[T]{logger: logger, kind: kind, link: link, source: source, sink: sink, wait: wait, gather: gather}
+}
+
+// Run follows the kind until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		revision, ok := f.list(ctx)
+		if !ok {
+			continue
+		}
+		f.watch(ctx, revision)
+	}
+	return nil
+}
+
+func (f *Follower[T]) list(ctx context.Context) (revision int64, ok bool) {
+	var items []Item[T]
+	err := f.link.call(ctx, f.kind, func(ctx context.Context) (err error) {
+		items, revision, err = f.source.List(ctx)
+		return err
+	})
+	if err != nil {
+		return 0, false
+	}
+	f.logger.Info().Str("event", "listed").Str("kind", f.kind).Int("objects", len(items)).Int64("revision", revision).Msg("list read")
+	f.sink.Replace(items)
+	return revision, true
+}
+
+// watch returns when the history is gone.
+func (f *Follower[T]) watch(ctx context.Context, revision int64) {
+	for ctx.Err() == nil {
+		var changes []Change[T]
+		next := revision
+		err := f.link.call(ctx, f.kind, func(ctx context.Context) (err error) {
+			wait := f.wait
+			if f.link.Lost() {
+				wait = probeWait
+			}
+			changes, next, err = f.source.Watch(ctx, revision, wait)
+			return err
+		})
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			f.logger.Info().Str("event", "history gone").Str("kind", f.kind).Int64("revision", revision).Msg("list is read again")
+			return
+		case err != nil:
+			continue
+		}
+		revision = next
+		if len(changes) > 0 {
+			f.sink.Apply(changes)
+			sleep(ctx, f.gather)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/choose.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/replica"
+)
+
+// Place is where this daemon runs.
+type Place struct {
+	Name, Zone, Region string
+	// Regions maps zones to regions.
+	Regions map[string]string
+}
+
+// distance returns 0 for a replica in the same zone, 1 for the same region and
+// 2 for another region.
+func (p Place) distance(zone string) int {
+	switch {
+	case zone == p.Zone:
+		return 0
+	case p.Regions[zone] == p.Region:
+		return 1
+	}
+	return 2
+}
+
+// priorLatency is the share of a route's objective that is assumed as latency,
+// by distance, until exchanges have been measured.
+var priorLatency = [3]float64{0.1, 0.15, 0.3}
+
+// candidate is a replica that a request may be sent to.
+type candidate struct {
+	replica catalog.Replica
+	backend *replica.Backend
+	// expected is the usual latency, deviation its mean deviation.
+	expected, deviation time.Duration
+	// cost is the expected latency with what is known of the replica.
+	cost    time.Duration
+	ejected bool
+}
+
+// usable reports whether new work may go to a replica.
+func usable(snap *catalog.Snapshot, place Place, route *catalog.Route, r catalog.Replica) bool {
+	return !r.Draining && !snap.IsEvacuated(r.Zone) && route.AllowsRegion(place.Regions[r.Zone])
+}
+
+// candidates returns the replicas of a service that may get a request, the best
+// one first.
+func (f *Forwarder) candidates(snap *catalog.Snapshot, route *catalog.Route, service string, now time.Time) []candidate {
+	var list []candidate
+	for _, r := range snap.Replicas(service) {
+		if !usable(snap, f.place, route, r) || !f.shares.admits(snap, r) {
+			continue
+		}
+		c := candidate{replica: r, backend: f.pool.Backend(r, f.shares.connections(snap, r))}
+		class := replica.LatencyClass{Route: route.Name, Zone: r.Zone}
+		var ok bool
+		if c.expected, c.deviation, ok = f.pool.Latencies.Usual(class); !ok {
+			c.expected = time.Duration(priorLatency[f.place.distance(r.Zone)] * float64(route.Objective))
+			c.deviation = c.expected / 2
+		}
+		c.cost = time.Duration(c.backend.Cost(now) * float64(c.expected))
+		c.ejected = c.backend.Ejected(now)
+		list = append(list, c)
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if a.ejected != b.ejected {
+			if a.ejected {
+				return 1
+			}
+			return -1
+		}
+		return int(a.cost - b.cost)
+	})
+	return list
+}
+
+// pickPart returns the service of a split for the n-th request. The golden
+// ratio spreads any run of requests evenly over the weights.
+func pickPart(parts []catalog.WeightedService, n uint64) string {
+	const golden = 0.6180339887498949
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	point := float64(n) * golden
+	point = (point - float64(uint64(point))) * total
+	for _, p := range parts {
+		if point < p.Weight {
+			return p.Service
+		}
+		point -= p.Weight
+	}
+	return parts[len(parts)-1].Service
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,249 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/replica"
+)
+
+const (
+	// deliveryMargin is kept for the way of an answer back to its caller: a
+	// round trip and the set-up of a connection at a few milliseconds each way.
+	deliveryMargin = 15 * time.Millisecond
+	// loserGrace is how long an exchange that is no longer needed may go on, so
+	// that its connection can be kept. It is below the half second after which
+	// a replica may no longer work for a caller that has left.
+	loserGrace = 300 * time.Millisecond
+	// busyWait is the pause before a shard whose replicas have no free
+	// connection, or no room for a cold start, is looked at again.
+	busyWait = 4 * time.Millisecond
+	// budgetWait is the pause before a repeat without budget is tried again:
+	// other requests add to the budget.
+	budgetWait = 20 * time.Millisecond
+	// rejectWait is the pause before a replica that rejected a request for load
+	// gets it again.
+	rejectWait = 15 * time.Millisecond
+	// maxSends bounds the exchanges for one shard of a request.
+	maxSends = 4
+)
+
+// shard is the state of one service that a request needs.
+type shard struct {
+	service string
+	tried   []string // distinct replicas that may have got the request
+	sends   int
+	live    int
+	// arrived counts the exchanges that may have reached a replica.
+	arrived int
+	// mayHaveRun is set once a replica may have run the request.
+	mayHaveRun bool
+	reply      *replica.Reply
+	// failure is the last whole answer that was not a success.
+	failure *replica.Reply
+	// closed is set when no more exchange will be started.
+	closed  bool
+	reason  string
+	hedgeAt time.Time // zero for none
+	retryAt time.Time // zero for none
+	last    *replica.Backend
+}
+
+// event is the end of an exchange.
+type event struct {
+	shard  int
+	id     string
+	result replica.Result
+	took   time.Duration
+}
+
+// run serves one request. It belongs to one goroutine.
+type run struct {
+	f       *Forwarder
+	ctx     context.Context
+	req     *Request
+	route   *catalog.Route
+	version int64
+	start   time.Time
+	end     time.Time // of the time for the request
+	shards  []shard
+	events  chan event
+	live    int
+	cancel  context.CancelFunc
+	sendCtx context.Context
+	hedges  int
+	retries int
+}
+
+// loop runs the request to its end.
+func (r *run) loop() Answer {
+	r.sendCtx, r.cancel = context.WithDeadline(context.WithoutCancel(r.ctx), r.end)
+	if a, refused := r.refuseEarly(); refused {
+		r.cancel()
+		return a
+	}
+	for i := range r.shards {
+		r.first(i)
+	}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		if a, done := r.decide(now); done {
+			r.release()
+			return a
+		}
+		timer.Reset(max(r.nextWake(now).Sub(now), 0))
+		select {
+		case e := <-r.events:
+			r.ended(e)
+			r.drainEvents()
+		case <-timer.C:
+			r.wake(time.Now())
+		case <-r.ctx.Done():
+			r.cancel()
+			return Answer{Code: Abandoned}
+		}
+	}
+}
+
+func (r *run) drainEvents() {
+	for {
+		select {
+		case e := <-r.events:
+			r.ended(e)
+		default:
+			return
+		}
+	}
+}
+
+// release lets exchanges that are no longer needed end by themselves for a
+// while, and cancels those that are left.
+func (r *run) release() {
+	if r.live == 0 {
+		r.cancel()
+		return
+	}
+	time.AfterFunc(loserGrace, r.cancel)
+}
+
+// refuseEarly refuses a request for which too few replicas are usable, before
+// anything is sent.
+func (r *run) refuseEarly() (Answer, bool) {
+	snap, open := r.f.store.Load(), 0
+	for i := range r.shards {
+		sh := &r.shards[i]
+		if slices.ContainsFunc(snap.Replicas(sh.service), func(c catalog.Replica) bool {
+			return usable(snap, r.f.place, r.route, c)
+		}) {
+			open++
+		} else {
+			sh.closed, sh.reason = true, "no replica"
+		}
+	}
+	if open > 0 && enough(open, len(r.shards), r.route) {
+		return Answer{}, false
+	}
+	return refusal("no replica", RetryHint(r.route.Objective)), true
+}
+
+// enough reports whether an answer may be made of n of the shards.
+func enough(n, total int, route *catalog.Route) bool {
+	if !route.IsScatter() {
+		return n == total
+	}
+	const rounding = 1e-9
+	return n > 0 && float64(n) >= route.MinShare*float64(total)-rounding
+}
+
+// nextWake returns the time of the next timed decision.
+func (r *run) nextWake(now time.Time) time.Time {
+	next := r.end
+	if cut := r.cutAt(); cut.After(now) {
+		next = earlier(next, cut)
+	}
+	if late := r.lateAt(); late.After(now) {
+		next = earlier(next, late)
+	}
+	for i := range r.shards {
+		sh := &r.shards[i]
+		if sh.closed {
+			continue
+		}
+		if !sh.hedgeAt.IsZero() {
+			next = earlier(next, sh.hedgeAt)
+		}
+		if !sh.retryAt.IsZero() {
+			next = earlier(next, sh.retryAt)
+		}
+	}
+	return next
+}
+
+// wake starts the hedges and retries that are due.
+func (r *run) wake(now time.Time) {
+	for i := range r.shards {
+		sh := &r.shards[i]
+		if sh.closed {
+			continue
+		}
+		if !sh.retryAt.IsZero() && !sh.retryAt.After(now) {
+			sh.retryAt = time.Time{}
+			if sh.sends == 0 {
+				r.first(i)
+			} else {
+				r.retry(i)
+			}
+		}
+		if !sh.hedgeAt.IsZero() && !sh.hedgeAt.After(now) {
+			sh.hedgeAt = time.Time{}
+			r.hedge(i, now)
+		}
+	}
+}
+
+// ended takes the end of an exchange.
+func (r *run) ended(e event) {
+	sh := &r.shards[e.shard]
+	sh.live--
+	r.live--
+	res := e.result
+	switch res.Kind {
+	case replica.NotSent:
+		sh.arrived--
+		sh.tried = slices.DeleteFunc(sh.tried, func(id string) bool { return id == e.id })
+	case replica.Lost:
+		sh.mayHaveRun = true
+	case replica.Complete:
+		sh.mayHaveRun = true
+		reply := res.Reply
+		if reply.Succeeded() {
+			if sh.reply == nil {
+				sh.reply = &reply
+			}
+			sh.closed = true
+			return
+		}
+		sh.failure = &reply
+	}
+	if sh.closed {
+		return
+	}
+	sh.reason = res.Reason
+	r.logExchange(sh, e)
+	switch {
+	case res.Kind == replica.Complete && sh.failure.Status < 500, r.mustStop(sh):
+		sh.closed = true
+	case sh.live > 0:
+	case res.Kind == replica.NotRun && !res.Misdirected && len(r.f.candidates(r.f.store.Load(), r.route, sh.service, time.Now())) < 2:
+		sh.retryAt = time.Now().Add(rejectWait)
+	default:
+		r.retry(e.shard)
+	}
+}
+
+// mustStop reports whether a request that must not run twice may have run.
+func (r *run) mustStop(sh *shard) bool { return !r.route.Idempotent && sh.mayHaveRun }
--- /dev/null
+++ b/internal/forward/shares.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
+)
+
+// Shares divides the limits of a replica among the daemons. Each daemon works
+// out its own share from the list of daemons, so that the sum keeps the limit.
+type Shares struct {
+	// Self is the name of this daemon.
+	Self string
+	// ColdOverage and ColdSlack are the bound on a cold replica: its rate times
+	// ColdOverage and ColdSlack more, in any second.
+	ColdOverage, ColdSlack float64
+}
+
+const (
+	// assumedDaemons is the number of daemons until their list was read: twice
+	// the usual size of a deployment, so that shares are too small rather than
+	// too large.
+	assumedDaemons = 16
+	// connectionShare is the part of a replica's connections that is used. The
+	// rest covers connections that are being closed.
+	connectionShare = 0.9
+)
+
+// daemons returns the number of daemons that share the replicas.
+func daemons(snap *catalog.Snapshot) int {
+	if len(snap.Daemons) == 0 {
+		return assumedDaemons
+	}
+	return len(snap.Daemons)
+}
+
+func (s Shares) bound(snap *catalog.Snapshot, r catalog.Replica) int {
+	return max(int(float64(snap.Config.Services[r.Service].MaxConnections)*connectionShare), 1)
+}
+
+// senders returns the number of daemons that send to a replica: all of them,
+// or as many as it has connections for.
+func (s Shares) senders(snap *catalog.Snapshot, r catalog.Replica) int {
+	return min(daemons(snap), s.bound(snap, r))
+}
+
+// connections returns the number of connections of this daemon to a replica.
+func (s Shares) connections(snap *catalog.Snapshot, r catalog.Replica) int {
+	return max(Share(float64(s.bound(snap, r)), daemons(snap)), 1)
+}
+
+// admits reports whether this daemon sends to a replica. With more daemons than
+// connections, each replica is used by the daemons that rank first for it in
+// rendezvous order.
+func (s Shares) admits(snap *catalog.Snapshot, r catalog.Replica) bool {
+	bound := s.bound(snap, r)
+	if len(snap.Daemons) <= bound {
+		return true
+	}
+	own, before := xxhash.Sum64String(r.ID+"/"+s.Self), 0
+	for _, d := range snap.Daemons {
+		if xxhash.Sum64String(r.ID+"/"+d) < own {
+			before++
+		}
+	}
+	return before < bound
+}
+
+// coldLimit returns the requests that this daemon may send to a cold replica in
+// any second.
+func (s Shares) coldLimit(snap *catalog.Snapshot, r catalog.Replica) int {
+	rate := snap.Config.Services[r.Service].ColdRate
+	return Share(rate*s.ColdOverage+s.ColdSlack, s.senders(snap, r))
+}
--- /dev/null
+++ b/internal/ingress/admin.go
@@ -0,0 +1,62 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+)
+
+// Admin serves the balancer and operators.
+type Admin struct {
+	listener net.Listener
+	engine   *server.Hertz
+}
+
+// AdminOptions are what an Admin serves. Zero fields are left out.
+type AdminOptions struct {
+	// Ready is asked at ReadyPath.
+	ReadyPath string
+	Ready     func() bool
+	// Metrics is served at /metrics.
+	Metrics http.Handler
+	// Status is served at /status as JSON.
+	Status func() any
+}
+
+// NewAdmin listens on an IP:port.
+func NewAdmin(address string, o AdminOptions) (*Admin, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	a := &Admin{listener: ln, engine: newEngine(ln)}
+	if o.Ready != nil {
+		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
+			status := http.StatusOK
+			if !o.Ready() {
+				status = http.StatusServiceUnavailable
+			}
+			c.SetStatusCode(status)
+		})
+	}
+	if o.Metrics != nil {
+		a.engine.GET("/metrics", adaptor.HertzHandler(o.Metrics))
+	}
+	if o.Status != nil {
+		a.engine.GET("/status", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, o.Status()) })
+	}
+	return a, nil
+}
+
+// Run serves until ctx ends.
+func (a *Admin) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		a.listener.Close() //nolint:errcheck // a second close has no effect
+	})
+	defer stop()
+	return a.engine.Run()
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,187 @@
+// Package ingress serves callers over HTTP and tells the balancer whether this
+// instance takes them.
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/forward"
+	"github.com/baobabsill/baobabsill/internal/listener"
+)
+
+// Codec translates between HTTP and the types of the product.
+type Codec interface {
+	Decode(method, uri, host string, header http.Header, body []byte, arrived time.Time) *forward.Request
+	Encode(a forward.Answer) (status int, header http.Header, body []byte)
+}
+
+// Forwarder serves decoded requests.
+type Forwarder interface {
+	Serve(ctx context.Context, req *forward.Request) forward.Answer
+}
+
+const (
+	// readTimeout bounds the reading of a request, and the wait for the first
+	// request of a connection.
+	readTimeout = 15 * time.Second
+	// idleTimeout bounds the time between requests when the configuration sets
+	// no shorter one.
+	idleTimeout = 5 * time.Minute
+	// maxBodyBytes and maxHeaderBytes bound the memory for one request until the
+	// configuration's own limits are checked.
+	maxBodyBytes   = 8 << 20
+	maxHeaderBytes = 256 << 10
+	// idleSweep is how often idle connections are looked at.
+	idleSweep = time.Second
+	// idleAllowance is how much longer than the configuration says a connection
+	// may be idle: callers may still go by the limit of an earlier version.
+	idleAllowance = 2
+)
+
+// Limits bound what a caller may send; zero means no bound.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	Idle                   time.Duration
+}
+
+// Server serves callers. Run is called once.
+type Server struct {
+	logger    *log.Logger
+	listener  *listener.Listener
+	codec     Codec
+	forwarder Forwarder
+	limits    func() Limits
+	draining  atomic.Bool
+	engine    *server.Hertz
+}
+
+// NewServer listens on an IP:port. limits returns the limits in force.
+func NewServer(logger *log.Logger, address string, codec Codec, forwarder Forwarder, limits func() Limits) (*Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{logger: logger, listener: listener.New(ln, readTimeout, nil), codec: codec, forwarder: forwarder, limits: limits}
+	s.engine = newEngine(s.listener,
+		server.WithSenseClientDisconnection(true),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+	)
+	s.engine.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.recovered)), s.serve)
+	s.engine.NoRoute(func(context.Context, *app.RequestContext) {})
+	return s, nil
+}
+
+func newEngine(ln net.Listener, options ...hertzconfig.Option) *server.Hertz {
+	options = append(options,
+		server.WithListener(ln),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithDisablePrintRoute(true),
+		hertzconfig.Option{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
+		server.WithExitWaitTime(0),
+	)
+	return server.New(options...)
+}
+
+// Run serves until Drain is called or ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		s.listener.Close() //nolint:errcheck // a second close has no effect
+		s.listener.CloseConns()
+	})
+	defer stop()
+	go s.sweep(ctx)
+	return s.engine.Run()
+}
+
+func (s *Server) sweep(ctx context.Context) {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if idle := s.limits().Idle; idle > 0 {
+				s.listener.CloseIdleFor(idleAllowance * idle)
+			}
+		}
+	}
+}
+
+// AnnounceClose makes each further answer close its connection.
+func (s *Server) AnnounceClose() { s.draining.Store(true) }
+
+// Drain stops accepting connections and waits for the requests in flight. It
+// returns the error of ctx if requests were cut off.
+func (s *Server) Drain(ctx context.Context) error { return s.listener.Drain(ctx) }
+
+func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
+	arrived := time.Now()
+	defer c.Abort()
+	if s.draining.Load() {
+		c.SetConnectionClose()
+	}
+	header := http.Header{}
+	headerBytes := 0
+	c.Request.Header.VisitAll(func(k, v []byte) {
+		header.Add(string(k), string(v))
+		headerBytes += len(k) + len(v) + len(": \r\n")
+	})
+	if status := s.check(c, header, headerBytes); status != 0 {
+		c.SetConnectionClose()
+		c.SetStatusCode(status)
+		return
+	}
+	req := s.codec.Decode(string(c.Request.Header.Method()), string(c.Request.Header.RequestURI()),
+		string(c.Request.Header.Host()), header, c.Request.Body(), arrived)
+	a := s.forwarder.Serve(ctx, req)
+	if a.Code == forward.Abandoned {
+		c.SetConnectionClose()
+		return
+	}
+	status, out, body := s.codec.Encode(a)
+	c.Response.SetStatusCode(status)
+	c.Response.Header.SetNoDefaultContentType(true)
+	for name, values := range out {
+		for _, v := range values {
+			c.Response.Header.Add(name, v)
+		}
+	}
+	c.Response.SetBodyRaw(body)
+}
+
+// check returns the status of a request that is refused before it is decoded,
+// or 0.
+func (s *Server) check(c *app.RequestContext, header http.Header, headerBytes int) int {
+	limits := s.limits()
+	switch {
+	case header.Get("Transfer-Encoding") != "" && header.Get("Content-Length") != "":
+		return http.StatusBadRequest // two lengths would let a request hide in another
+	case limits.HeaderBytes > 0 && headerBytes > limits.HeaderBytes:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case limits.BodyBytes > 0 && len(c.Request.Body()) > limits.BodyBytes:
+		return http.StatusRequestEntityTooLarge
+	}
+	return 0
+}
+
+func (s *Server) recovered(_ context.Context, c *app.RequestContext, err any, stack []byte) {
+	s.logger.Error().Any("panic", err).Bytes("stack", stack).Str("path", string(c.Path())).Msg("panic in handler")
+	c.SetStatusCode(http.StatusBadGateway)
+	c.Abort()
+}
--- a/internal/api/listener.go
+++ b/internal/listener/listener.go
@@ -1,40 +1,48 @@
-package api
+// Package listener accepts the connections of callers for a Hertz server and
+// knows which of them carry a request.
+package listener
 
 import (
-	"bytes"
-	"fmt"
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/baobabsill/baobabsill/internal/outcome"
 )
 
 // writeTimeout bounds one write, so that a caller that does not read its
 // answer holds no goroutine.
 const writeTimeout = 10 * time.Second
 
-// trackingListener knows its open connections, so that a shutdown can close
-// idle ones instead of waiting for their callers.
-type trackingListener struct {
+// Listener knows its open connections, so that a shutdown can close idle ones
+// instead of waiting for their callers. It is safe for concurrent use.
+type Listener struct {
 	net.Listener
 	// readTimeout bounds the first request of a connection. Hertz sets its
 	// read timeout only from the second request on.
 	readTimeout time.Duration
-	mu          sync.Mutex
-	closed      bool
-	conns       map[*trackedConn]struct{}
+	// rewrite returns what is written in place of an answer of Hertz's own, or
+	// nil to keep it.
+	rewrite func(answer []byte) []byte
+	mu      sync.Mutex
+	closed  bool
+	conns   map[*trackedConn]struct{}
+}
+
+// New returns a Listener. rewrite may be nil.
+func New(ln net.Listener, readTimeout time.Duration, rewrite func(answer []byte) []byte) *Listener {
+	return &Listener{Listener: ln, readTimeout: readTimeout, rewrite: rewrite, conns: map[*trackedConn]struct{}{}}
 }
 
 // Accept returns the next connection.
-func (l *trackingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	c.SetReadDeadline(time.Now().Add(l.readTimeout)) //nolint:errcheck // fails only on a closed connection
 	t := &trackedConn{Conn: c, listener: l}
+	t.idleSince.Store(time.Now().UnixNano())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -45,8 +53,8 @@
 	return t, nil
 }
 
-// closeConns closes all connections.
-func (l *trackingListener) closeConns() {
+// CloseConns closes all connections.
+func (l *Listener) CloseConns() {
 	l.mu.Lock()
 	l.closed = true
 	conns := l.conns
@@ -57,9 +65,9 @@
 	}
 }
 
-// closeIdle closes the connections without a request in flight and returns
+// CloseIdle closes the connections without a request in flight and returns
 // the number of the others. Later connections are refused.
-func (l *trackingListener) closeIdle() int {
+func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
@@ -72,20 +80,56 @@
 	return len(l.conns)
 }
 
+// drainTick is how often Drain looks for connections that became idle.
+const drainTick = 5 * time.Millisecond
+
+// Drain stops accepting connections, closes idle ones, waits until the requests
+// in flight have ended or ctx ends, and closes the rest. It returns the error of
+// ctx if requests were cut off.
+func (l *Listener) Drain(ctx context.Context) error {
+	l.Close() //nolint:errcheck // a second close has no effect
+	tick := time.NewTicker(drainTick)
+	defer tick.Stop()
+	for l.CloseIdle() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			l.CloseConns()
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// CloseIdleFor closes the connections that were idle for longer than a limit.
+func (l *Listener) CloseIdleFor(limit time.Duration) {
+	since := time.Now().Add(-limit).UnixNano()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if !c.busy.Load() && c.idleSince.Load() < since {
+			c.Conn.Close() //nolint:errcheck // the peer sees the close either way
+			delete(l.conns, c)
+		}
+	}
+}
+
 // trackedConn bounds the time of its writes and knows whether a request is in
 // flight: from the first byte of the request to the first read after the
 // answer.
 type trackedConn struct {
 	net.Conn
-	listener *trackingListener
+	listener *Listener
 	busy     atomic.Bool
 	wrote    atomic.Bool
+	// idleSince is when the connection last became idle, in Unix nanoseconds.
+	idleSince atomic.Int64
 }
 
 // Read reads into b.
 func (c *trackedConn) Read(b []byte) (int, error) {
-	if c.wrote.Load() {
-		c.busy.Store(false)
+	if c.wrote.Load() && c.busy.Swap(false) {
+		c.idleSince.Store(time.Now().UnixNano())
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -108,51 +152,22 @@
 }
 
 // Write writes b. Hertz answers requests that it cannot read with plain text
-// and offers no hook for it, so such an answer is replaced by a typed refusal.
+// and offers no hook for it, so such an answer can be replaced here.
 func (c *trackedConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	c.wrote.Store(true)
-	if r := readRefusal(b); r != nil {
-		if _, err := c.Conn.Write(r); err != nil {
-			return 0, err
+	if c.listener.rewrite != nil {
+		if r := c.listener.rewrite(b); r != nil {
+			if _, err := c.Conn.Write(r); err != nil {
+				return 0, err
+			}
+			return len(b), nil
 		}
-		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
-// readRefusals maps the bodies of Hertz's answers to typed refusals.
-var readRefusals = []struct {
-	body    string
-	status  string
-	reason  outcome.Reason
-	message string
-}{
-	{"Request timeout", "408 Request Timeout", outcome.ReasonTimeout, "the request did not arrive in time"},
-	{"Request Entity Too Large", "413 Request Entity Too Large", outcome.ReasonMalformed, "the body is too large"},
-	{"Request Header Fields Too Large", "431 Request Header Fields Too Large", outcome.ReasonMalformed, "the header is too large"},
-	{"Error when parsing request", "400 Bad Request", outcome.ReasonTruncated, "the request is malformed or its body is truncated"},
-}
-
 // plainTruncated is Hertz's answer to a malformed request.
 var plainTruncated = []byte("HTTP/1.1 400 Bad Request\r\n\r\nError when parsing request")
-
-func readRefusal(b []byte) []byte {
-	if !bytes.HasPrefix(b, []byte("HTTP/1.1 4")) {
-		return nil
-	}
-	_, body, ok := bytes.Cut(b, []byte("\r\n\r\n"))
-	if !ok {
-		return nil
-	}
-	for _, r := range readRefusals {
-		if string(body) == r.body {
-			doc := fmt.Sprintf(`{"outcome":%q,"reason":%q,"message":%q}`, outcome.Invalid, r.reason, r.message)
-			return fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-				r.status, len(doc), doc)
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/settings/edge.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Edge are the checked settings of an instance on the users' platform.
+type Edge struct {
+	Name   string
+	Zone   string
+	Region string
+	// Zones maps each availability zone of the deployment to its region.
+	Zones map[string]string
+	// CallerListen, ReadyListen and MetricsListen are IP:port.
+	CallerListen, ReadyListen, MetricsListen string
+
+	PlatformAddress string
+	// Contact is the time after a disturbance of the platform within which the
+	// instance has to be up to date again.
+	Contact time.Duration
+	// Heartbeat is how often replicas report.
+	Heartbeat time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+
+	MaxInFlight int
+	// RetryRatio and RetrySlack bound the repeats at a service over all
+	// instances: a ratio of its requests, and a number in each window.
+	RetryRatio, RetrySlack float64
+	// ColdOverage and ColdSlack bound the requests to a cold replica over all
+	// instances in any second: its rate times the one, plus the other.
+	ColdOverage, ColdSlack float64
+
+	LogLevel string
+}
+
+func edgeFields(s *Edge) []field {
+	return []field{
+		{"instance.name", true, "", name(&s.Name)},
+		{"instance.zone", true, "", name(&s.Zone)},
+		{"instance.region", true, "", name(&s.Region)},
+		{"instance.zones", true, "", zoneMap(&s.Zones)},
+		{"instance.caller_listen", true, "", address(&s.CallerListen)},
+		{"instance.ready_listen", true, "", address(&s.ReadyListen)},
+		{"instance.metrics_listen", true, "", address(&s.MetricsListen)},
+		{"platform.address", true, "", advertised(&s.PlatformAddress)},
+		{"platform.contact", false, "5s", duration(&s.Contact, 500*time.Millisecond, 10*time.Minute)},
+		{"platform.heartbeat", false, "1s", duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Minute)},
+		{"shutdown.grace", false, "6s", duration(&s.Grace, 100*time.Millisecond, 10*time.Minute)},
+		{"limits.max_in_flight", false, "256", integer(&s.MaxInFlight, 1, 100_000)},
+		{"retry.ratio", false, "0.2", number(&s.RetryRatio, 0, 10)},
+		{"retry.slack", false, "10", number(&s.RetrySlack, 0, 1_000_000)},
+		{"cold.overage", false, "1", number(&s.ColdOverage, 0, 100)},
+		{"cold.slack", false, "0", number(&s.ColdSlack, 0, 1_000_000)},
+		{"log.level", false, "info", oneOf(&s.LogLevel, "debug", "info", "warn", "error")},
+	}
+}
+
+// LoadEdge reads and checks the settings of an instance on the users' platform.
+// It returns every fault in the order of the lines.
+func LoadEdge(path string) (Edge, []error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Edge{}, []error{err}
+	}
+	return ParseEdge(path, data)
+}
+
+// ParseEdge is LoadEdge for the content of a file. file names it in errors.
+func ParseEdge(file string, data []byte) (Edge, []error) {
+	var s Edge
+	errs := parse(file, data, edgeFields(&s), func(p *parser, failed map[string]bool) {
+		if failed["instance.zone"] || failed["instance.zones"] {
+			return
+		}
+		if region, known := s.Zones[s.Zone]; !known || region != s.Region && !failed["instance.region"] {
+			p.fail(p.keys["instance.zone"].line, "instance", "zone",
+				fmt.Sprintf("conflict: zones does not list %s in region %s", s.Zone, s.Region))
+		}
+	})
+	return s, errs
+}
+
+func zoneMap(to *map[string]string) func(string) error {
+	return func(v string) error {
+		zones := map[string]string{}
+		for _, item := range strings.Split(v, ",") {
+			zone, region, ok := strings.Cut(strings.TrimSpace(item), ":")
+			if !ok || !namePattern.MatchString(zone) || !namePattern.MatchString(region) {
+				return fmt.Errorf("bad zone %q: want ZONE:REGION, separated by commas", item)
+			}
+			zones[zone] = region
+		}
+		*to = zones
+		return nil
+	}
+}
+
+func number(to *float64, low, high float64) func(string) error {
+	return func(v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return fmt.Errorf("bad number %q: want a number without a unit, such as 0.2", v)
+		}
+		if n < low || n > high || n != n {
+			return fmt.Errorf("%s is out of range: want %v to %v", v, low, high)
+		}
+		*to = n
+		return nil
+	}
+}
--- a/internal/settings/scan.go
+++ b/internal/settings/scan.go
@@ -30,9 +30,9 @@
 // scan gives the INI library one line at a time. The library keeps no line
 // numbers, stops at the first bad line and lets the last of two equal keys
 // win, all of which would hide faults.
-func (p *parser) scan(text string) {
+func (p *parser) scan(text string, fields []field) {
 	known := map[string][]string{} // section to its keys
-	for _, f := range fields(&Settings{}) {
+	for _, f := range fields {
 		section, key, _ := strings.Cut(f.name, ".")
 		known[section] = append(known[section], key)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,11 +104,18 @@
 
 // Parse is Load for the content of a file. file names it in errors.
 func Parse(file string, data []byte) (Settings, []error) {
-	p := &parser{file: file, sections: map[string]int{}, keys: map[string]entry{}}
-	p.scan(string(data))
 	var s Settings
+	errs := parse(file, data, fields(&s), func(p *parser, failed map[string]bool) { p.checkTogether(&s, failed) })
+	return s, errs
+}
+
+// parse reads the fields of a file and returns its faults in the order of the
+// lines. together finds faults between keys; it leaves out those that failed.
+func parse(file string, data []byte, fields []field, together func(p *parser, failed map[string]bool)) []error {
+	p := &parser{file: file, sections: map[string]int{}, keys: map[string]entry{}}
+	p.scan(string(data), fields)
 	failed := map[string]bool{}
-	for _, f := range fields(&s) {
+	for _, f := range fields {
 		section, key, _ := strings.Cut(f.name, ".")
 		e, ok := p.keys[f.name]
 		switch {
@@ -127,13 +134,13 @@
 			failed[f.name] = true
 		}
 	}
-	p.checkTogether(&s, failed)
+	together(p, failed)
 	slices.SortStableFunc(p.errs, func(a, b *Error) int { return a.Line - b.Line })
 	errs := make([]error, len(p.errs))
 	for i, e := range p.errs {
 		errs[i] = e
 	}
-	return s, errs
+	return errs
 }
 
 // checkTogether fills defaults that follow another key and finds keys that
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -9,11 +9,10 @@
 	"mime"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
+	"github.com/baobabsill/baobabsill/internal/exchange"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 )
 
@@ -39,21 +38,6 @@
 	aborted bool
 }
 
-// countedConn knows whether bytes of a request may have left the process.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
-	writing atomic.Bool
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	c.writing.Store(true)
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	c.writing.Store(false)
-	return n, err
-}
-
 // client sends to one address of a target. It is safe for concurrent use.
 type client struct {
 	address   string
@@ -70,13 +54,9 @@
 		address: address,
 		maxBody: opts.MaxReplyBytes,
 		transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := opts.dial(ctx, dialer, network, addr)
-				if err != nil {
-					return nil, err
-				}
-				return &countedConn{Conn: c}, nil
-			},
+			DialContext: exchange.Counted(func(ctx context.Context, network, addr string) (net.Conn, error) {
+				return opts.dial(ctx, dialer, network, addr)
+			}),
 			DisableCompression:  true,
 			MaxConnsPerHost:     connections,
 			MaxIdleConns:        connections,
@@ -101,14 +81,8 @@
 
 // exchange reports stale if a reused connection failed with nothing written.
 func (c *client) exchange(ctx context.Context, w Work, deadline time.Time) (r reply, stale bool) {
-	var conn *countedConn
-	var before int64
-	var reused bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn.(*countedConn)
-		before, reused = conn.written.Load(), info.Reused
-	}}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
+	var ex exchange.Exchange
+	req, err := http.NewRequestWithContext(ex.Trace(ctx), http.MethodPost,
 		"http://"+c.address+"/"+w.Operation, io.NopCloser(bytes.NewReader(w.Body)))
 	if err != nil {
 		return reply{result: outcome.Refused(outcome.ReasonUnreachable)}, false
@@ -132,22 +106,22 @@
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return c.failed(ctx, conn, before, reused)
+		return c.failed(ctx, &ex)
 	}
 	defer resp.Body.Close()
-	r = c.check(ctx, resp, w, reused)
+	r = c.check(ctx, resp, w, ex.Reused)
 	if r.aborted || r.evidence == evidenceBroken {
-		conn.Close()
+		ex.Abort()
 	}
 	return r, false
 }
 
 // failed classifies an exchange without a response header. Closing the
 // connection first means that no later write can put bytes on the wire.
-func (c *client) failed(ctx context.Context, conn *countedConn, before int64, reused bool) (reply, bool) {
+func (c *client) failed(ctx context.Context, ex *exchange.Exchange) (reply, bool) {
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	cancelled := ctx.Err() != nil && !late
-	if conn == nil {
+	if !ex.Connected() {
 		switch {
 		case cancelled:
 			return reply{result: outcome.Refused(outcome.ReasonCancelled)}, false
@@ -156,8 +130,8 @@
 		}
 		return reply{result: outcome.Refused(outcome.ReasonUnreachable), evidence: evidenceRefused}, false
 	}
-	conn.Close()
-	if !conn.writing.Load() && conn.written.Load() == before {
+	ex.Abort()
+	if !ex.Sent() {
 		switch {
 		case cancelled:
 			return reply{result: outcome.Refused(outcome.ReasonCancelled)}, false
@@ -165,10 +139,10 @@
 			return reply{result: outcome.Refused(outcome.ReasonExpired)}, false
 		}
 		e := evidenceRefused
-		if reused {
+		if ex.Reused {
 			e = evidenceNone
 		}
-		return reply{result: outcome.Refused(outcome.ReasonUnreachable), evidence: e}, reused
+		return reply{result: outcome.Refused(outcome.ReasonUnreachable), evidence: e}, ex.Reused
 	}
 	return interrupted(ctx), false
 }
