Keep a connection open whose request was just read

Ruled out: a lock around read and note, which a blocked read would hold.

Change: an idle connection is ended by its read deadline, so that the server closes it when no request came in.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -65,16 +65,15 @@
 	}
 }
 
-// CloseIdle closes the connections without a request in flight and returns
-// the number of the others. Later connections are refused.
+// CloseIdle makes the connections without a request in flight end and returns
+// the number of those that are still open. Later connections are refused.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	for c := range l.conns {
 		if !c.busy.Load() {
-			c.Conn.Close() //nolint:errcheck // the peer sees the close either way
-			delete(l.conns, c)
+			c.expire()
 		}
 	}
 	return len(l.conns)
@@ -108,8 +107,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if !c.busy.Load() && c.idleSince.Load() < since {
-			c.Conn.Close() //nolint:errcheck // the peer sees the close either way
-			delete(l.conns, c)
+			c.expire()
 		}
 	}
 }
@@ -126,6 +124,16 @@
 	idleSince atomic.Int64
 }
 
+// longAgo is a read deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// expire ends the wait for the next request, upon which the server closes the
+// connection. A request that a Read has just taken is still served, which it
+// would not be if the connection were closed here.
+func (c *trackedConn) expire() {
+	c.Conn.SetReadDeadline(longAgo) //nolint:errcheck // fails only on a closed connection
+}
+
 // Read reads into b.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	if c.wrote.Load() && c.busy.Swap(false) {
