Read the settings again on SIGHUP and make fewer calls to the store

Ruled out: one short watch a kind as a sign of life; the configuration's alone is enough, since a lost link ends the other watches.

--- a/cmd/baobabsill/edge.go
+++ b/cmd/baobabsill/edge.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/phuslu/log"
 
@@ -22,7 +24,9 @@
 		Level: log.ParseLevel(s.LogLevel), Writer: writer,
 		Context: log.NewContext(nil).Str("instance", s.Name).Value(),
 	}
-	d, err := edge.New(logger, s)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	d, err := edge.New(logger, s, path, hup)
 	if err != nil {
 		logger.Error().Err(err).Msg("instance not started")
 		return exitFailure
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,9 @@
 // Daemon is one instance.
 type Daemon struct {
 	logger   *log.Logger
-	settings settings.Edge
+	path     string // of the settings
+	settings atomic.Pointer[settings.Edge]
+	hup      <-chan os.Signal
 
 	catalog   *catalog.Store
 	store     *platform.Store
@@ -45,8 +48,9 @@
 	runners   []func(context.Context) error
 }
 
-// New wires an instance and opens its listeners.
-func New(logger *log.Logger, s settings.Edge) (*Daemon, error) {
+// New wires an instance and opens its listeners. path is the file of the
+// settings, which is read again after each signal on hup.
+func New(logger *log.Logger, s settings.Edge, path string, hup <-chan os.Signal) (*Daemon, error) {
 	host, _, err := net.SplitHostPort(s.CallerListen)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -54,17 +58,14 @@
 	source := net.ParseIP(host)
 	scope, metricsHandler, closer := api.NewMetrics(logger)
 	d := &Daemon{
-		logger: logger, settings: s, metrics: closer,
+		logger: logger, path: path, hup: hup, metrics: closer,
 		catalog: catalog.NewStore(returnHeartbeats * s.Heartbeat),
 		store:   platform.NewStore(s.PlatformAddress, source),
 		link:    follow.NewLink(logger),
 		pool:    replica.NewPool(platform.NewReplicas(source).Dial),
 	}
-	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, forward.Options{
-		Place:      forward.Place{Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Zones},
-		Shares:     forward.Shares{Self: s.Name, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack},
-		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MaxInFlight: s.MaxInFlight,
-	})
+	d.settings.Store(&s)
+	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, forwardOptions(s))
 	if d.server, err = ingress.NewServer(logger, s.CallerListen, platform.Ingress{}, d.forwarder, d.limits); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -75,7 +76,7 @@
 		return nil, Error.Wrap(err)
 	}
 	d.follow()
-	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.retain)
+	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.retain, d.watchSettings)
 	return d, nil
 }
 
@@ -83,33 +84,38 @@
 	// returnHeartbeats is the number of heartbeats for which the replicas of a
 	// zone count as cold after its evacuation: their next reports tell.
 	returnHeartbeats = 2
-	// watchShare is the part of the contact time that a watch waits, so that a
-	// silent store is noticed and read again within the contact time.
+	// watchShare is the part of the contact time that the watch of the
+	// configuration waits, so that a silent store is noticed, and all kinds are
+	// read again, within the contact time.
 	watchShare = 0.5
+	// longWait is the wait of the other watches, which end when the link is lost.
+	// It is below the longest wait that the store takes, 30 s.
+	longWait = 25 * time.Second
 	// daemonGather is the pause between two readings of the list of daemons,
 	// which changes at each start of an instance.
 	daemonGather = 2 * time.Second
 	// replicaGather is the pause between two readings of the changes of
 	// replicas, which come in groups.
-	replicaGather = 50 * time.Millisecond
+	replicaGather = 250 * time.Millisecond
 )
 
 // follow adds the controllers that follow the store.
 func (d *Daemon) follow() {
-	wait := time.Duration(watchShare * float64(d.settings.Contact))
+	self := d.settings.Load().Name
+	wait := time.Duration(watchShare * float64(d.settings.Load().Contact))
 	replicas := follow.NewReplicaSink(d.logger, d.catalog, d.link)
 	d.runners = append(d.runners, replicas.Run,
 		follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
 			follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, wait, 0).Run,
-		follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), replicas, wait, replicaGather).Run,
+		follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), replicas, longWait, replicaGather).Run,
 		follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
-			follow.NewZoneSink(d.logger, d.catalog), wait, 0).Run,
+			follow.NewZoneSink(d.logger, d.catalog), longWait, 0).Run,
 		func(ctx context.Context) error {
-			if err := follow.Register(ctx, d.logger, d.link, d.store, d.settings.Name); err != nil {
+			if err := follow.Register(ctx, d.logger, d.link, d.store, self); err != nil {
 				return err
 			}
 			return follow.NewFollower(d.logger, "daemons", d.link, d.store.Daemons(),
-				follow.NewDaemonSink(d.logger, d.catalog, d.settings.Name), wait, daemonGather).Run(ctx)
+				follow.NewDaemonSink(d.logger, d.catalog, self), longWait, daemonGather).Run(ctx)
 		},
 	)
 }
@@ -117,8 +123,9 @@
 // Run serves until stop ends and then shuts down gracefully. force cuts the
 // shutdown short.
 func (d *Daemon) Run(stop, force context.Context) error {
-	d.logger.Info().Str("event", "start").Str("zone", d.settings.Zone).Str("region", d.settings.Region).
-		Str("callers", d.settings.CallerListen).Str("platform", d.settings.PlatformAddress).Msg("instance starts")
+	s := d.settings.Load()
+	d.logger.Info().Str("event", "start").Str("zone", s.Zone).Str("region", s.Region).
+		Str("callers", s.CallerListen).Str("platform", s.PlatformAddress).Msg("instance starts")
 	ctx, cancel := context.WithCancel(context.WithoutCancel(force))
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -192,7 +199,7 @@
 func (d *Daemon) status() any {
 	snap := d.catalog.Load()
 	doc := Document{
-		Instance: d.settings.Name, Zone: d.settings.Zone, Ready: d.isReady(), StoreLost: d.link.Lost(),
+		Instance: d.settings.Load().Name, Zone: d.settings.Load().Zone, Ready: d.isReady(), StoreLost: d.link.Lost(),
 		Evacuated: snap.Evacuated(), Daemons: snap.Daemons, InFlight: d.forwarder.InFlight(), Replicas: d.pool.Reports(time.Now()),
 	}
 	if snap.Config != nil {
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -17,14 +17,14 @@
 
 // shutdown lets the balancer and the callers go before the instance ends.
 func (d *Daemon) shutdown(force context.Context) error {
-	started := time.Now()
+	started, grace, self := time.Now(), d.settings.Load().Grace, d.settings.Load().Name
 	d.stopping.Store(true)
 	d.server.AnnounceClose()
-	d.logger.Info().Str("event", "stop").Dur("grace", d.settings.Grace).Int64("in_flight", d.forwarder.InFlight()).
+	d.logger.Info().Str("event", "stop").Dur("grace", grace).Int64("in_flight", d.forwarder.InFlight()).
 		Msg("instance stops")
-	follow.Deregister(d.logger, d.store, d.settings.Name)
-	end := started.Add(d.settings.Grace - exitMargin)
-	wait(force, min(balancerDelay, d.settings.Grace/2)-time.Since(started))
+	follow.Deregister(d.logger, d.store, self)
+	end := started.Add(grace - exitMargin)
+	wait(force, min(balancerDelay, grace/2)-time.Since(started))
 	ctx, cancel := context.WithDeadline(force, end)
 	defer cancel()
 	err := d.server.Drain(ctx)
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -10,21 +10,24 @@
 // its share of the slack and a ratio of its own requests, so that all daemons
 // together keep the bound on the service without a word to each other.
 type Budget struct {
-	ratio float64
-	slack float64
-
-	mu       sync.Mutex
-	services map[string]float64 // tokens left
+	mu           sync.Mutex
+	ratio, slack float64
+	services     map[string]float64 // tokens left
 }
 
 // budgetShare is the part of the bound that is used. The rest covers daemons
 // that the others do not know of yet.
-const budgetShare = 0.85
+const budgetShare = 0.9
+
+// NewBudget returns a Budget without any repeats.
+func NewBudget() *Budget { return &Budget{services: map[string]float64{}} }
 
-// NewBudget returns a Budget of ratio repeats a request and slack repeats in
-// each window, over all daemons.
-func NewBudget(ratio, slack float64) *Budget {
-	return &Budget{ratio: ratio * budgetShare, slack: slack * budgetShare, services: map[string]float64{}}
+// SetBounds allows ratio repeats a request and slack repeats in each window,
+// over all daemons.
+func (b *Budget) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio*budgetShare, slack*budgetShare
 }
 
 // Request counts one request of a caller for a service.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -10,7 +10,7 @@
 
 // Place is where this daemon runs.
 type Place struct {
-	Name, Zone, Region string
+	Zone, Region string
 	// Regions maps zones to regions.
 	Regions map[string]string
 }
@@ -52,14 +52,14 @@
 func (f *Forwarder) candidates(snap *catalog.Snapshot, route *catalog.Route, service string, now time.Time) []candidate {
 	var list []candidate
 	for _, r := range snap.Replicas(service) {
-		if !usable(snap, f.place, route, r) || !f.shares.admits(snap, r) {
+		if !usable(snap, f.place(), route, r) || !f.shares().admits(snap, r) {
 			continue
 		}
-		c := candidate{replica: r, backend: f.pool.Backend(r, f.shares.connections(snap, r))}
+		c := candidate{replica: r, backend: f.pool.Backend(r, f.shares().connections(snap, r))}
 		class := replica.LatencyClass{Route: route.Name, Zone: r.Zone}
 		var ok bool
 		if c.expected, c.deviation, ok = f.pool.Latencies.Usual(class); !ok {
-			c.expected = time.Duration(priorLatency[f.place.distance(r.Zone)] * float64(route.Objective))
+			c.expected = time.Duration(priorLatency[f.place().distance(r.Zone)] * float64(route.Objective))
 			c.deviation = c.expected / 2
 		}
 		c.cost = time.Duration(c.backend.Cost(now) * float64(c.expected))
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -27,25 +27,31 @@
 	logger  *log.Logger
 	store   *catalog.Store
 	pool    *replica.Pool
-	place   Place
-	shares  Shares
+	options atomic.Pointer[Options]
 	budget  *Budget
 	metrics *metrics
 
-	maxInFlight int64
-	inFlight    atomic.Int64
-	splits      atomic.Uint64
+	inFlight atomic.Int64
+	splits   atomic.Uint64
 }
 
 // NewForwarder returns a Forwarder.
 func NewForwarder(logger *log.Logger, scope tally.Scope, store *catalog.Store, pool *replica.Pool, o Options) *Forwarder {
-	return &Forwarder{
-		logger: logger, store: store, pool: pool, place: o.Place, shares: o.Shares,
-		budget:  NewBudget(o.RetryRatio, o.RetrySlack),
-		metrics: newMetrics(scope), maxInFlight: int64(o.MaxInFlight),
-	}
+	f := &Forwarder{logger: logger, store: store, pool: pool, budget: NewBudget(), metrics: newMetrics(scope)}
+	f.Configure(o)
+	return f
+}
+
+// Configure replaces the options. Requests in flight may still go by the old
+// ones.
+func (f *Forwarder) Configure(o Options) {
+	f.options.Store(&o)
+	f.budget.SetBounds(o.RetryRatio, o.RetrySlack)
 }
 
+func (f *Forwarder) place() Place   { return f.options.Load().Place }
+func (f *Forwarder) shares() Shares { return f.options.Load().Shares }
+
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
@@ -87,7 +93,7 @@
 
 // admitted returns the limit on requests in flight for a rank.
 func (f *Forwarder) admitted(priority int) int64 {
-	limit := float64(f.maxInFlight)
+	limit := float64(f.options.Load().MaxInFlight)
 	for range min(priority, 8) {
 		limit *= lowerRankShare
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -137,7 +137,7 @@
 	for i := range r.shards {
 		sh := &r.shards[i]
 		if slices.ContainsFunc(snap.Replicas(sh.service), func(c catalog.Replica) bool {
-			return usable(snap, r.f.place, r.route, c)
+			return usable(snap, r.f.place(), r.route, c)
 		}) {
 			open++
 		} else {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -42,7 +42,7 @@
 
 func (r *run) acquire(c candidate, now time.Time) (*replica.Permit, string) {
 	snap := r.f.store.Load()
-	return c.backend.Acquire(now, r.f.pool.Number(), c.replica.ColdUntil, r.f.shares.coldLimit(snap, c.replica), c.expected)
+	return c.backend.Acquire(now, r.f.pool.Number(), c.replica.ColdUntil, r.f.shares().coldLimit(snap, c.replica), c.expected)
 }
 
 // send starts one exchange.
