Leave moved replicas alone, arm deaf watches again, open connections ahead

Change: a replica whose address answered 421 gets nothing until it is reported anew. A watch that stays silent a second after another answer named a later revision is armed again. Connections are opened ahead, and halved for a while after a restart.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -45,7 +45,10 @@
 	metrics   io.Closer
 	stopping  atomic.Bool
 	wasReady  atomic.Bool
-	runners   []func(context.Context) error
+	// restartedUntil is set if an earlier process of this instance may have left
+	// connections behind.
+	restartedUntil time.Time
+	runners        []func(context.Context) error
 }
 
 // New wires an instance and opens its listeners. path is the file of the
@@ -65,7 +68,10 @@
 		pool:    replica.NewPool(platform.NewReplicas(source).Dial),
 	}
 	d.settings.Store(&s)
-	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, forwardOptions(s))
+	if !s.Bootstrap {
+		d.restartedUntil = time.Now().Add(restartHold)
+	}
+	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.forwardOptions(s))
 	if d.server, err = ingress.NewServer(logger, s.CallerListen, platform.Ingress{}, d.forwarder, d.limits); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -76,7 +82,7 @@
 		return nil, Error.Wrap(err)
 	}
 	d.follow()
-	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.retain, d.watchSettings)
+	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.upkeep, d.watchSettings)
 	return d, nil
 }
 
@@ -88,6 +94,9 @@
 	// configuration waits, so that a silent store is noticed, and all kinds are
 	// read again, within the contact time.
 	watchShare = 0.5
+	// restartHold is how long replicas may hold the connections of a process that
+	// lost its power: they close them when they have been idle for some seconds.
+	restartHold = 5 * time.Second
 	// longWait is the wait of the other watches, which end when the link is lost.
 	// It is below the longest wait that the store takes, 30 s.
 	longWait = 25 * time.Second
@@ -167,18 +176,27 @@
 	return ingress.Limits{HeaderBytes: c.Limits.HeaderBytes, BodyBytes: c.Limits.BodyBytes, Idle: c.Limits.IdleTimeout}
 }
 
-// retainInterval is how often the clients of replicas that have gone are closed.
-const retainInterval = time.Second
+// upkeepInterval is how often the clients of replicas are brought in line with
+// the catalog: well below the seconds between the start of a replica and its
+// first request.
+const upkeepInterval = 100 * time.Millisecond
 
-func (d *Daemon) retain(ctx context.Context) error {
-	ticker := time.NewTicker(retainInterval)
+// upkeep opens connections to new replicas and closes those of replicas that
+// have gone.
+func (d *Daemon) upkeep(ctx context.Context) error {
+	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
+	var seen *catalog.Snapshot
 	for {
+		if snap := d.catalog.Load(); snap != seen {
+			seen = snap
+			d.pool.Retain(snap)
+			d.forwarder.Prepare(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			d.pool.Retain(d.catalog.Load())
 		}
 	}
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -66,14 +66,16 @@
 		d.logger.Warn().Str("event", "reload").Msg("name, zone and addresses change only with a restart")
 	}
 	d.settings.Store(&s)
-	d.forwarder.Configure(forwardOptions(s))
+	d.forwarder.Configure(d.forwardOptions(s))
 	d.logger.Info().Str("event", "reload").Str("reason", reason).Msg("settings read again")
 }
 
-func forwardOptions(s settings.Edge) forward.Options {
+func (d *Daemon) forwardOptions(s settings.Edge) forward.Options {
 	return forward.Options{
-		Place:      forward.Place{Zone: s.Zone, Region: s.Region, Regions: s.Zones},
-		Shares:     forward.Shares{Self: s.Name, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack},
+		Place: forward.Place{Zone: s.Zone, Region: s.Region, Regions: s.Zones},
+		Shares: forward.Shares{
+			Self: s.Name, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, RestartedUntil: d.restartedUntil,
+		},
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MaxInFlight: s.MaxInFlight,
 	}
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -11,12 +11,21 @@
 // errRetry says that a call was not made because the state of the link changed.
 var errRetry = errors.New("link changed")
 
-func isOutage(err error) bool { return err != nil && !errors.Is(err, ErrHistoryGone) }
+// errBehind says that a watch was given up because it missed a revision.
+var errBehind = errors.New("watch is behind")
+
+func isOutage(err error) bool {
+	return err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, errBehind)
+}
 
 // probeWait is the wait of the watch that tries a lost link: short, because only
 // its answer shows that the store is back.
 const probeWait = 100 * time.Millisecond
 
+// shortWait is the wait of watches that end before a missed revision would be
+// noticed.
+const shortWait = 4 * time.Second
+
 // Follower follows one kind of object.
 type Follower[T any] struct {
 	logger *log.Logger
@@ -57,23 +66,22 @@
 		return 0, false
 	}
 	f.logger.Info().Str("event", "listed").Str("kind", f.kind).Int("objects", len(items)).Int64("revision", revision).Msg("list read")
+	f.link.note(revision)
 	f.sink.Replace(items)
 	return revision, true
 }
 
 // watch returns when the history is gone.
 func (f *Follower[T]) watch(ctx context.Context, revision int64) {
+	checked, overdue := revision, false // checked is the revision up to which nothing is missing
 	for ctx.Err() == nil {
-		var changes []Change[T]
-		next := revision
-		err := f.link.call(ctx, f.kind, func(ctx context.Context) (err error) {
-			wait := f.wait
-			if f.link.Lost() {
-				wait = probeWait
-			}
-			changes, next, err = f.source.Watch(ctx, revision, wait)
-			return err
-		})
+		wait := f.wait
+		if overdue || f.link.Lost() {
+			wait = probeWait
+		}
+		known := f.link.Revision()
+		changes, next, err := f.poll(ctx, revision, checked, wait)
+		overdue = errors.Is(err, errBehind)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			f.logger.Info().Str("event", "history gone").Str("kind", f.kind).Int64("revision", revision).Msg("list is read again")
@@ -81,10 +89,35 @@
 		case err != nil:
 			continue
 		}
-		revision = next
+		revision, checked = next, max(next, known)
 		if len(changes) > 0 {
 			f.sink.Apply(changes)
 			sleep(ctx, f.gather)
 		}
 	}
 }
+
+// poll makes one watching call. A long one is given up with errBehind when
+// another answer of the store names a later revision than checked and the call
+// stays silent.
+func (f *Follower[T]) poll(ctx context.Context, revision, checked int64, wait time.Duration) (changes []Change[T], next int64, err error) {
+	err = f.link.call(ctx, f.kind, func(ctx context.Context) error {
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		if wait > shortWait {
+			go func() {
+				if f.link.behind(ctx.Done(), checked) {
+					cancel(errBehind)
+				}
+			}()
+		}
+		var err error
+		changes, next, err = f.source.Watch(ctx, revision, wait)
+		if err != nil && errors.Is(context.Cause(ctx), errBehind) {
+			return errBehind
+		}
+		f.link.note(next)
+		return err
+	})
+	return changes, next, err
+}
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -15,6 +15,10 @@
 	// outage is prolonged.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = time.Second
+	// staleGrace is how long a watch may take to report a change after another
+	// answer named its revision. After it, the watch is armed again: a store that
+	// drops its history may leave a watch waiting that hears nothing any more.
+	staleGrace = time.Second
 )
 
 // Link is the state of the connection to the store, shared by all followers of
@@ -30,11 +34,13 @@
 	backAt   time.Time
 	failures int
 	changed  chan struct{} // closed when lost changes
+	revision int64         // the latest that any answer named
+	advanced chan struct{} // closed when revision grows
 }
 
 // NewLink returns a Link that counts as connected.
 func NewLink(logger *log.Logger) *Link {
-	l := &Link{logger: logger, probe: make(chan struct{}, 1), changed: make(chan struct{})}
+	l := &Link{logger: logger, probe: make(chan struct{}, 1), changed: make(chan struct{}), advanced: make(chan struct{})}
 	l.probe <- struct{}{}
 	return l
 }
@@ -54,6 +60,49 @@
 	return l.backAt
 }
 
+// Revision returns the latest revision of the store that any answer named.
+func (l *Link) Revision() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
+// note records the store's revision of an answer.
+func (l *Link) note(revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision > l.revision {
+		l.revision = revision
+		close(l.advanced)
+		l.advanced = make(chan struct{})
+	}
+}
+
+// behind waits until the store has a later revision than since, and then for
+// staleGrace.
+func (l *Link) behind(done <-chan struct{}, since int64) bool {
+	for {
+		l.mu.Lock()
+		later, advanced := l.revision > since, l.advanced
+		l.mu.Unlock()
+		if later {
+			t := time.NewTimer(staleGrace)
+			defer t.Stop()
+			select {
+			case <-t.C:
+				return true
+			case <-done:
+				return false
+			}
+		}
+		select {
+		case <-advanced:
+		case <-done:
+			return false
+		}
+	}
+}
+
 func (l *Link) state() (lost bool, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -56,6 +57,9 @@
 			continue
 		}
 		c := candidate{replica: r, backend: f.pool.Backend(r, f.shares().connections(snap, r))}
+		if c.backend.Moved() {
+			continue
+		}
 		class := replica.LatencyClass{Route: route.Name, Zone: r.Zone}
 		var ok bool
 		if c.expected, c.deviation, ok = f.pool.Latencies.Usual(class); !ok {
@@ -78,6 +82,23 @@
 	return list
 }
 
+// Prepare opens connections to the replicas that requests may go to, so that the
+// first requests after a start, or after a change of shards, need not wait for
+// them.
+func (f *Forwarder) Prepare(ctx context.Context) {
+	snap := f.store.Load()
+	if snap.Config == nil {
+		return
+	}
+	for name := range snap.Config.Services {
+		for _, r := range snap.Replicas(name) {
+			if !r.Draining && !snap.IsEvacuated(r.Zone) && f.shares().admits(snap, r) {
+				f.pool.Backend(r, f.shares().connections(snap, r)).Warm(ctx)
+			}
+		}
+	}
+}
+
 // pickPart returns the service of a split for the n-th request. The golden
 // ratio spreads any run of requests evenly over the weights.
 func pickPart(parts []catalog.WeightedService, n uint64) string {
--- a/internal/forward/shares.go
+++ b/internal/forward/shares.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
@@ -14,6 +16,9 @@
 	// ColdOverage and ColdSlack are the bound on a cold replica: its rate times
 	// ColdOverage and ColdSlack more, in any second.
 	ColdOverage, ColdSlack float64
+	// RestartedUntil is the end of the time in which replicas may still hold the
+	// connections of an earlier process of this instance.
+	RestartedUntil time.Time
 }
 
 const (
@@ -46,7 +51,11 @@
 
 // connections returns the number of connections of this daemon to a replica.
 func (s Shares) connections(snap *catalog.Snapshot, r catalog.Replica) int {
-	return max(Share(float64(s.bound(snap, r)), daemons(snap)), 1)
+	n := Share(float64(s.bound(snap, r)), daemons(snap))
+	if time.Now().Before(s.RestartedUntil) {
+		n /= 2
+	}
+	return max(n, 1)
 }
 
 // admits reports whether this daemon sends to a replica. With more daemons than
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -50,6 +50,8 @@
 	judgedAt    time.Time
 	inRow       int
 	ejectedTill time.Time
+	moved       bool // another replica has the address
+	warmed      bool // a connection was opened ahead
 	coldTill    time.Time
 	coldSends   []time.Time
 }
@@ -94,6 +96,14 @@
 	return slices.ContainsFunc(b.outstanding, func(c call) bool { return now.Sub(c.started) > c.stall })
 }
 
+// Moved reports whether another replica was found at the address, so that
+// nothing may be sent there until this one is reported anew.
+func (b *Backend) Moved() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.moved
+}
+
 // Ejected reports whether the replica is passed over after failures.
 func (b *Backend) Ejected(now time.Time) bool {
 	b.mu.Lock()
@@ -181,9 +191,10 @@
 }
 
 func (b *Backend) fail(now time.Time, r Result) {
+	b.moved = b.moved || r.Misdirected
 	b.inRow++
 	b.failures += sampleWeight * (1 - b.failures)
-	if b.inRow >= failuresToEject || r.Misdirected || r.Unreachable {
+	if b.inRow >= failuresToEject || r.Unreachable {
 		d := min(firstEjection<<min(max(b.inRow-failuresToEject, 0), 4), maxEjection)
 		b.ejectedTill = now.Add(d)
 	}
@@ -197,11 +208,22 @@
 		return
 	}
 	b.born = born
-	b.slowness, b.failures, b.inRow = 1, 0, 0
+	b.slowness, b.failures, b.inRow, b.moved, b.warmed = 1, 0, 0, false, false
 	b.ejectedTill = time.Time{}
 	b.client.DropIdle()
 }
 
+// Warm opens a connection ahead of the first request, once for each incarnation.
+func (b *Backend) Warm(ctx context.Context) {
+	b.mu.Lock()
+	done := b.warmed
+	b.warmed = true
+	b.mu.Unlock()
+	if !done {
+		go b.client.Warm(ctx)
+	}
+}
+
 func (b *Backend) setConnections(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -77,6 +77,8 @@
 	Send(ctx context.Context, w Work) Result
 	// DropIdle closes the connections that carry no request.
 	DropIdle()
+	// Warm opens a connection ahead of the first request.
+	Warm(ctx context.Context)
 }
 
 // Dialer returns the client of a replica. connections bounds its connections.
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -13,6 +13,8 @@
 	Name   string
 	Zone   string
 	Region string
+	// Bootstrap is set at the first start of the whole system.
+	Bootstrap bool
 	// Zones maps each availability zone of the deployment to its region.
 	Zones map[string]string
 	// CallerListen, ReadyListen and MetricsListen are IP:port.
@@ -44,6 +46,7 @@
 		{"instance.zone", true, "", name(&s.Zone)},
 		{"instance.region", true, "", name(&s.Region)},
 		{"instance.zones", true, "", zoneMap(&s.Zones)},
+		{"instance.bootstrap", false, "false", boolean(&s.Bootstrap)},
 		{"instance.caller_listen", true, "", address(&s.CallerListen)},
 		{"instance.ready_listen", true, "", address(&s.ReadyListen)},
 		{"instance.metrics_listen", true, "", address(&s.MetricsListen)},
