Wait for a busy replica rather than try one that fails

Change: ejected replicas are tried only where no other is left, refused connections are not counted as exchanges, and a replica that failed gets a pause.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -45,9 +45,9 @@
 	metrics   io.Closer
 	stopping  atomic.Bool
 	wasReady  atomic.Bool
-	// restartedUntil is set if an earlier process of this instance may have left
-	// connections behind.
-	restartedUntil time.Time
+	// restartedUntil is the end, in Unix nanoseconds, of the time in which replicas
+	// may hold connections of an earlier process of this instance; 0 for none.
+	restartedUntil atomic.Int64
 	runners        []func(context.Context) error
 }
 
@@ -69,7 +69,7 @@
 	}
 	d.settings.Store(&s)
 	if !s.Bootstrap {
-		d.restartedUntil = time.Now().Add(restartHold)
+		d.restartedUntil.Store(time.Now().Add(restartHold).UnixNano())
 	}
 	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.forwardOptions(s))
 	if d.server, err = ingress.NewServer(logger, s.CallerListen, platform.Ingress{}, d.forwarder, d.limits); err != nil {
@@ -120,8 +120,10 @@
 		follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
 			follow.NewZoneSink(d.logger, d.catalog), longWait, 0).Run,
 		func(ctx context.Context) error {
-			if err := follow.Register(ctx, d.logger, d.link, d.store, self); err != nil {
-				return err
+			if follow.Register(ctx, d.logger, d.link, d.store, self) {
+				// The earlier process, if any, has closed its connections.
+				d.restartedUntil.Store(0)
+				d.forwarder.Configure(d.forwardOptions(*d.settings.Load()))
 			}
 			return follow.NewFollower(d.logger, "daemons", d.link, d.store.Daemons(),
 				follow.NewDaemonSink(d.logger, d.catalog, self), longWait, daemonGather).Run(ctx)
--- a/internal/follow/daemons.go
+++ b/internal/follow/daemons.go
@@ -13,8 +13,8 @@
 
 // Registry holds one object a daemon.
 type Registry interface {
-	// Register creates the object of a daemon; it may exist.
-	Register(ctx context.Context, name string) error
+	// Register creates the object of a daemon. created is false if it existed.
+	Register(ctx context.Context, name string) (created bool, err error)
 	// Deregister removes the object of a daemon; it may be missing.
 	Deregister(ctx context.Context, name string) error
 }
@@ -63,16 +63,20 @@
 	s.logger.Info().Str("event", "daemons").Int("daemons", len(names)).Msg("list of daemons changed")
 }
 
-// Register writes the object of this daemon until the store has taken it.
-func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name string) error {
+// Register writes the object of this daemon until the store has taken it. It
+// returns false if an earlier process of the daemon ended without removing it.
+func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name string) (created bool) {
 	for ctx.Err() == nil {
-		err := link.call(ctx, "daemons", func(ctx context.Context) error { return registry.Register(ctx, name) })
+		err := link.call(ctx, "daemons", func(ctx context.Context) (err error) {
+			created, err = registry.Register(ctx, name)
+			return err
+		})
 		if err == nil {
-			logger.Info().Str("event", "registered").Msg("the daemon is listed")
-			return nil
+			logger.Info().Str("event", "registered").Bool("created", created).Msg("the daemon is listed")
+			return created
 		}
 	}
-	return nil
+	return false
 }
 
 // deregisterTimeout bounds the removal of the daemon's object at its stop.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -72,12 +73,9 @@
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		if a.ejected != b.ejected {
-			if a.ejected {
-				return 1
-			}
-			return -1
+			return compareBool(a.ejected, b.ejected)
 		}
-		return int(a.cost - b.cost)
+		return cmp.Compare(a.cost, b.cost)
 	})
 	return list
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -23,7 +23,7 @@
 	// budgetWait is the pause before a repeat without budget is tried again:
 	// other requests add to the budget.
 	budgetWait = 20 * time.Millisecond
-	// rejectWait is the pause before a replica that rejected a request for load
+	// rejectWait is the pause before a replica that rejected or failed a request
 	// gets it again.
 	rejectWait = 15 * time.Millisecond
 	// maxSends bounds the exchanges for one shard of a request.
@@ -34,10 +34,9 @@
 type shard struct {
 	service string
 	tried   []string // distinct replicas that may have got the request
-	sends   int
+	sends   int      // exchanges that may have reached a replica, or still may
+	started bool     // the first exchange was started
 	live    int
-	// arrived counts the exchanges that may have reached a replica.
-	arrived int
 	// mayHaveRun is set once a replica may have run the request.
 	mayHaveRun bool
 	reply      *replica.Reply
@@ -192,7 +191,7 @@
 		}
 		if !sh.retryAt.IsZero() && !sh.retryAt.After(now) {
 			sh.retryAt = time.Time{}
-			if sh.sends == 0 {
+			if !sh.started {
 				r.first(i)
 			} else {
 				r.retry(i)
@@ -213,7 +212,7 @@
 	res := e.result
 	switch res.Kind {
 	case replica.NotSent:
-		sh.arrived--
+		sh.sends--
 		sh.tried = slices.DeleteFunc(sh.tried, func(id string) bool { return id == e.id })
 	case replica.Lost:
 		sh.mayHaveRun = true
@@ -237,11 +236,8 @@
 	switch {
 	case res.Kind == replica.Complete && sh.failure.Status < 500, r.mustStop(sh):
 		sh.closed = true
-	case sh.live > 0:
-	case res.Kind == replica.NotRun && !res.Misdirected && len(r.f.candidates(r.f.store.Load(), r.route, sh.service, time.Now())) < 2:
-		sh.retryAt = time.Now().Add(rejectWait)
-	default:
-		r.retry(e.shard)
+	case sh.live == 0:
+		r.again(e.shard, e.id)
 	}
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -23,10 +23,14 @@
 }
 
 // sendToFirst sends to the first candidate that has room. Without one, the
-// shard waits.
+// shard waits. A replica that failed of late is tried only if there is no other,
+// not if the others are busy.
 func (r *run) sendToFirst(i int, list []candidate, now time.Time) bool {
 	sh := &r.shards[i]
 	for n, c := range list {
+		if c.ejected && !list[0].ejected {
+			break
+		}
 		permit, why := r.acquire(c, now)
 		if permit == nil {
 			sh.reason = why
@@ -49,7 +53,7 @@
 func (r *run) send(i int, c candidate, permit *replica.Permit, now time.Time) {
 	sh := &r.shards[i]
 	sh.sends++
-	sh.arrived++
+	sh.started = true
 	sh.live++
 	r.live++
 	if !slices.Contains(sh.tried, c.replica.ID) {
@@ -99,19 +103,39 @@
 	sh.hedgeAt = now.Add(delay)
 }
 
-// allowed returns the candidates that a repeat may go to, those that were not
-// tried before first.
+// allowed returns the candidates that a repeat may go to: those that failed of
+// late last, and those that were not tried before the others.
 func (r *run) allowed(sh *shard, list []candidate) []candidate {
-	var fresh, again []candidate
-	for _, c := range list {
-		switch {
-		case slices.Contains(sh.tried, c.replica.ID):
-			again = append(again, c)
-		case len(sh.tried) < r.route.MaxAttempts:
-			fresh = append(fresh, c)
-		}
+	tried := func(c candidate) bool { return slices.Contains(sh.tried, c.replica.ID) }
+	list = slices.DeleteFunc(list, func(c candidate) bool { return !tried(c) && len(sh.tried) >= r.route.MaxAttempts })
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return 2*compareBool(a.ejected, b.ejected) + compareBool(tried(a), tried(b))
+	})
+	return list
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// again plans a repeat after an exchange with a replica failed: at once if there
+// is another replica in good health, or after a pause.
+func (r *run) again(i int, failed string) {
+	sh := &r.shards[i]
+	now := time.Now()
+	list := r.allowed(sh, r.f.candidates(r.f.store.Load(), r.route, sh.service, now))
+	if len(list) > 0 && (list[0].ejected || list[0].replica.ID == failed) {
+		sh.retryAt = now.Add(rejectWait)
+		return
 	}
-	return append(fresh, again...)
+	r.retry(i)
 }
 
 // hedge sends a second exchange beside one that is overdue.
@@ -173,14 +197,14 @@
 		r.retries++
 		r.f.metrics.retries.Inc(1)
 		r.logSend("retry", sh, list[0], now)
-	} else if sh.arrived > 0 {
+	} else if sh.sends > 0 {
 		r.f.budget.Return(sh.service)
 	}
 }
 
 // takeBudget takes a repeat if the service may have seen the request already.
 func (r *run) takeBudget(sh *shard) bool {
-	if sh.arrived == 0 {
+	if sh.sends == 0 {
 		return true
 	}
 	if r.f.budget.Take(sh.service) {
