Bound open connections with the transport's own limit

The transport may dial beside a connection that is about to become idle.

Change: MaxConnsPerHost, by a new transport when the share changes; shares go by the largest number of daemons seen at once.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -20,6 +20,9 @@
 	// Daemons are the names of the daemons that share the replicas; nil until
 	// their list was read.
 	Daemons []string
+	// PeakDaemons is the largest number of daemons that were listed at once. An
+	// instance that stops for a restart is back within seconds.
+	PeakDaemons int
 }
 
 // Replicas returns the listed replicas of a service, in the order of their IDs.
@@ -130,5 +133,8 @@
 
 // SetDaemons replaces the list of daemons.
 func (s *Store) SetDaemons(names []string) {
-	s.update(func(next *Snapshot) { next.Daemons = slices.Sorted(slices.Values(names)) })
+	s.update(func(next *Snapshot) {
+		next.Daemons = slices.Sorted(slices.Values(names))
+		next.PeakDaemons = max(next.PeakDaemons, len(names))
+	})
 }
--- a/internal/forward/shares.go
+++ b/internal/forward/shares.go
@@ -33,10 +33,10 @@
 
 // daemons returns the number of daemons that share the replicas.
 func daemons(snap *catalog.Snapshot) int {
-	if len(snap.Daemons) == 0 {
+	if snap.PeakDaemons == 0 {
 		return assumedDaemons
 	}
-	return len(snap.Daemons)
+	return snap.PeakDaemons
 }
 
 func (s Shares) bound(snap *catalog.Snapshot, r catalog.Replica) int {
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
 )
 
 const (
@@ -63,8 +65,8 @@
 	stall   time.Duration // age at which the replica seems to stand still
 }
 
-func newBackend(id, service, zone string, born int64, connections int, client Client) *Backend {
-	return &Backend{ID: id, Service: service, Zone: zone, born: born, connections: connections, client: client, slowness: 1}
+func newBackend(r catalog.Replica, client Client) *Backend {
+	return &Backend{ID: r.ID, Service: r.Service, Zone: r.Zone, born: r.Born, client: client, slowness: 1}
 }
 
 // decay moves the averages towards their neutral values.
@@ -172,6 +174,8 @@
 		b.inRow = 0
 		b.failures += sampleWeight * (0 - b.failures)
 		b.sample(took, expected)
+	case r.Kind == NotSent && !r.Unreachable:
+		// Nothing reached the replica, and not by its doing.
 	default:
 		b.fail(now, r)
 	}
@@ -227,5 +231,8 @@
 func (b *Backend) setConnections(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.connections = n
+	if n != b.connections {
+		b.connections = n
+		b.client.SetConnections(n)
+	}
 }
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -22,9 +22,11 @@
 
 func (s *scripted) DropIdle() { s.dropped++ }
 
+func (s *scripted) SetConnections(int) {}
+
 func (s *scripted) Warm(context.Context) {}
 
-func poolOf(c Client) *Pool { return NewPool(func(string, int) Client { return c }) }
+func poolOf(c Client) *Pool { return NewPool(func(string) Client { return c }) }
 
 var listed = catalog.Replica{ID: "r1", Service: "s", Address: "10.0.0.1:80", Zone: "z", Born: 1}
 
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -56,7 +56,7 @@
 	WarmupLeft time.Duration
 	// Misdirected is set if another replica has the address.
 	Misdirected bool
-	// Unreachable is set if no connection could be opened.
+	// Unreachable is set if the replica did not take a connection.
 	Unreachable bool
 }
 
@@ -75,11 +75,13 @@
 type Client interface {
 	// Send runs one exchange. It ends when ctx ends.
 	Send(ctx context.Context, w Work) Result
+	// SetConnections bounds the connections that are open at once.
+	SetConnections(n int)
 	// DropIdle closes the connections that carry no request.
 	DropIdle()
 	// Warm opens a connection ahead of the first request.
 	Warm(ctx context.Context)
 }
 
-// Dialer returns the client of a replica. connections bounds its connections.
-type Dialer func(address string, connections int) Client
+// Dialer returns the client of the replica at an IP:port.
+type Dialer func(address string) Client
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -33,7 +33,7 @@
 	if b == nil {
 		p.mu.Lock()
 		if b = p.backends[r.ID]; b == nil {
-			b = newBackend(r.ID, r.Service, r.Zone, r.Born, connections, p.dial(r.Address, connections))
+			b = newBackend(r, p.dial(r.Address))
 			p.backends[r.ID] = b
 		}
 		p.mu.Unlock()
