Leave overloaded shards out where an answer can do without

Change: a shard whose replicas are all expected to be late by their latency is asked only if the answer needs it. The end of a request names the shards that are absent, with reasons.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -39,9 +39,10 @@
 	backend *replica.Backend
 	// expected is the usual latency, deviation its mean deviation.
 	expected, deviation time.Duration
-	// cost is the expected latency with what is known of the replica.
-	cost    time.Duration
-	ejected bool
+	// cost is the expected latency with what is known of the replica; queued is
+	// that without the cost of failures and stalls.
+	cost, queued time.Duration
+	ejected      bool
 }
 
 // usable reports whether new work may go to a replica.
@@ -67,7 +68,8 @@
 			c.expected = time.Duration(priorLatency[f.place().distance(r.Zone)] * float64(route.Objective))
 			c.deviation = c.expected / 2
 		}
-		c.cost = time.Duration(c.backend.Cost(now) * float64(c.expected))
+		cost, queued := c.backend.Cost(now)
+		c.cost, c.queued = time.Duration(cost*float64(c.expected)), time.Duration(queued*float64(c.expected))
 		c.ejected = c.backend.Ejected(now)
 		list = append(list, c)
 	}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -25,13 +26,13 @@
 			open++
 		}
 	}
-	if open == 0 || !now.Before(r.end) {
+	if open == 0 && (enough(in, len(r.shards), r.route) || !r.takeSpare()) || !now.Before(r.end) {
 		return r.finish(in, now), true
 	}
 	if !r.route.IsScatter() {
 		return r.refuseWaiting(now)
 	}
-	if !enough(in+open, len(r.shards), r.route) {
+	if !enough(in+open, len(r.shards), r.route) && !r.takeSpare() {
 		return r.finish(in, now), true
 	}
 	if enough(in, len(r.shards), r.route) && r.mustLeave(now) {
@@ -83,9 +84,23 @@
 	case !ran:
 		return refusal(reason, RetryHint(r.route.Objective))
 	case !now.Before(r.end):
-		return Answer{Code: TimedOut, Reason: reason}
+		return Answer{Code: TimedOut, Reason: reason, Absent: r.absent()}
 	}
-	return Answer{Code: Unknown, Reason: reason}
+	return Answer{Code: Unknown, Reason: reason, Absent: r.absent()}
+}
+
+// maxAbsent bounds the shards that a log line names.
+const maxAbsent = 5
+
+// absent describes the shards that did not answer.
+func (r *run) absent() []string {
+	var list []string
+	for i := range r.shards {
+		if sh := &r.shards[i]; sh.reply == nil && len(list) < maxAbsent {
+			list = append(list, fmt.Sprintf("%s: %s, %d sent, %d waiting", sh.service, sh.reason, sh.sends, sh.live))
+		}
+	}
+	return list
 }
 
 // merge puts the parts together that are in.
@@ -99,7 +114,7 @@
 		}
 	}
 	if a.Missing > 0 {
-		a.Reason = "shards missing"
+		a.Reason, a.Absent = "shards missing", r.absent()
 	}
 	a.Records = top.falling()
 	return a
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -78,6 +78,9 @@
 	if a.Reason != "" {
 		e = e.Str("reason", a.Reason)
 	}
+	if len(a.Absent) > 0 {
+		e = e.Strs("absent", a.Absent)
+	}
 	if a.Code == Merged {
 		e = e.Int("parts", len(a.Signatures)).Int("missing", a.Missing)
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -63,6 +63,9 @@
 	Signatures []string
 	Missing    int
 	Records    []byte
+	// Absent names shards that did not answer, with the reason of each, for the
+	// log. It is bounded.
+	Absent []string
 }
 
 func refusal(reason string, after time.Duration) Answer {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -43,7 +44,9 @@
 	// failure is the last whole answer that was not a success.
 	failure *replica.Reply
 	// closed is set when no more exchange will be started.
-	closed  bool
+	closed bool
+	// skipped is set if the shard was left out because it is overloaded.
+	skipped bool
 	reason  string
 	hedgeAt time.Time // zero for none
 	retryAt time.Time // zero for none
@@ -72,6 +75,8 @@
 	live    int
 	cancel  context.CancelFunc
 	sendCtx context.Context
+	// spare are the shards that were left out, the best one first.
+	spare   []int
 	hedges  int
 	retries int
 }
@@ -83,9 +88,7 @@
 		r.cancel()
 		return a
 	}
-	for i := range r.shards {
-		r.first(i)
-	}
+	r.plan(time.Now())
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -149,15 +152,18 @@
 	return refusal("no replica", RetryHint(r.route.Objective)), true
 }
 
-// enough reports whether an answer may be made of n of the shards.
-func enough(n, total int, route *catalog.Route) bool {
+// needed returns the number of shards that an answer needs.
+func needed(total int, route *catalog.Route) int {
 	if !route.IsScatter() {
-		return n == total
+		return total
 	}
 	const rounding = 1e-9
-	return n > 0 && float64(n) >= route.MinShare*float64(total)-rounding
+	return max(int(math.Ceil(route.MinShare*float64(total)-rounding)), 1)
 }
 
+// enough reports whether an answer may be made of n of the shards.
+func enough(n, total int, route *catalog.Route) bool { return n >= needed(total, route) }
+
 // nextWake returns the time of the next timed decision.
 func (r *run) nextWake(now time.Time) time.Time {
 	next := r.end
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -151,7 +151,7 @@
 		return c.backend == sh.last && now.Before(r.start.Add(4*c.expected+minHedgeDelay)) || c.ejected
 	})
 	if cut := r.cutAt(); now.Before(cut) {
-		list = slices.DeleteFunc(list, func(c candidate) bool { return now.Add(c.expected).After(cut.Add(deliveryMargin)) })
+		list = slices.DeleteFunc(list, func(c candidate) bool { return now.Add(c.cost).After(cut.Add(deliveryMargin)) })
 	}
 	if len(list) == 0 {
 		return
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -33,7 +33,7 @@
 	// minStall keeps scheduling delays of this process from looking like stalls.
 	minStall = 15 * time.Millisecond
 	// maxSlowness bounds the effect of one sample.
-	maxSlowness = 20
+	maxSlowness = 50
 )
 
 // Backend is one replica as this daemon sees it. It is safe for concurrent use.
@@ -82,16 +82,17 @@
 }
 
 // Cost returns the expected latency of an exchange started now, as a multiple
-// of the latency that is usual for its route and zone.
-func (b *Backend) Cost(now time.Time) float64 {
+// of the latency that is usual for its route and zone, with what failures and
+// stalls cost. queued is the part of it that a slow replica or its queue takes.
+func (b *Backend) Cost(now time.Time) (cost, queued float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.decay(now)
-	cost := max(b.slowness, 0.5) + failurePenalty*b.failures
+	cost = max(b.slowness, 0.5) + failurePenalty*b.failures
 	if b.stalled(now) {
 		cost += failurePenalty
 	}
-	return cost
+	return cost, b.slowness
 }
 
 func (b *Backend) stalled(now time.Time) bool {
