--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -54,7 +54,7 @@
 		return 0, false // closed by its first exchange
 	}
 	best := slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.queued, b.queued) })
-	return best.queued, best.queued > r.cutAt().Sub(now) || best.backend.Scarce()
+	return best.queued, best.queued > r.cutAt().Sub(now)
 }
 
 // takeSpare starts the best shard that was left out, and reports whether there
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -21,8 +21,6 @@
 	// busyWait is the pause before a shard whose replicas have no free
 	// connection, or no room for a cold start, is looked at again.
 	busyWait = 4 * time.Millisecond
-	// lateWait is busyWait for requests that are late anyway.
-	lateWait = 40 * time.Millisecond
 	// budgetWait is the pause before a repeat without budget is tried again:
 	// other requests add to the budget.
 	budgetWait = 20 * time.Millisecond
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -40,26 +40,13 @@
 		r.planHedge(sh, c, list, n, now)
 		return true
 	}
-	sh.retryAt = now.Add(r.busyPause(now))
+	sh.retryAt = now.Add(busyWait)
 	return false
 }
 
 func (r *run) acquire(c candidate, now time.Time) (*replica.Permit, string) {
-	snap, shares := r.f.store.Load(), r.f.shares()
-	return c.backend.Acquire(now, r.f.pool.Number(), replica.Load{
-		Expected: c.expected, Limit: r.route.Objective - deliveryMargin,
-		Share:     float64(c.replica.Slots) / float64(shares.senders(snap, c.replica)),
-		ColdUntil: c.replica.ColdUntil, ColdLimit: shares.coldLimit(snap, c.replica),
-	})
-}
-
-// busyPause is the pause before a shard without room is looked at again. Requests
-// that are late leave the room to those that can still be in time.
-func (r *run) busyPause(now time.Time) time.Duration {
-	if now.After(r.cutAt()) {
-		return lateWait
-	}
-	return busyWait
+	snap := r.f.store.Load()
+	return c.backend.Acquire(now, r.f.pool.Number(), c.replica.ColdUntil, r.f.shares().coldLimit(snap, c.replica), c.expected)
 }
 
 // send starts one exchange.
@@ -186,7 +173,7 @@
 		return
 	}
 	r.f.budget.Return(sh.service)
-	sh.hedgeAt = now.Add(r.busyPause(now))
+	sh.hedgeAt = now.Add(busyWait)
 }
 
 // retry sends once more after an exchange that failed.
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -52,7 +52,6 @@
 	judgedAt    time.Time
 	inRow       int
 	ejectedTill time.Time
-	window      window
 	moved       bool // another replica has the address
 	warmed      bool // a connection was opened ahead
 	coldTill    time.Time
@@ -63,22 +62,9 @@
 type call struct {
 	number  uint64
 	started time.Time
-	limit   time.Duration // latency beyond which the answer is late
 	stall   time.Duration // age at which the replica seems to stand still
 }
 
-// Load is what an exchange is about to ask of a replica.
-type Load struct {
-	// Expected is the usual latency, Limit that beyond which the answer is late.
-	Expected, Limit time.Duration
-	// Share is this instance's share of the slots of the replica.
-	Share float64
-	// ColdUntil is the end of a cold start, in which the replica gets at most
-	// ColdLimit requests in any second from this instance.
-	ColdUntil time.Time
-	ColdLimit int
-}
-
 func newBackend(r catalog.Replica, client Client) *Backend {
 	return &Backend{ID: r.ID, Service: r.Service, Zone: r.Zone, born: r.Born, client: client, slowness: 1}
 }
@@ -138,38 +124,28 @@
 	call    call
 }
 
-// Acquire returns a permit, or the reason why nothing may be sent now.
-func (b *Backend) Acquire(now time.Time, number uint64, load Load) (*Permit, string) {
+// Acquire returns a permit, or the reason why nothing may be sent now. A cold
+// replica gets at most coldLimit requests in any second from this daemon.
+// expected is the usual latency of the exchange.
+func (b *Backend) Acquire(now time.Time, number uint64, coldUntil time.Time, coldLimit int, expected time.Duration) (*Permit, string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.outstanding) >= b.connections {
 		return nil, "connections"
 	}
-	if !b.window.admits(len(b.outstanding), now) {
-		return nil, "busy"
-	}
-	if now.Before(load.ColdUntil) || now.Before(b.coldTill) {
+	if now.Before(coldUntil) || now.Before(b.coldTill) {
 		b.coldSends = slices.DeleteFunc(b.coldSends, func(t time.Time) bool { return now.Sub(t) > coldWindow })
-		if len(b.coldSends) >= load.ColdLimit {
+		if len(b.coldSends) >= coldLimit {
 			return nil, "cold"
 		}
 		b.coldSends = append(b.coldSends, now)
 	}
-	stall := max(time.Duration(stallFactor*float64(load.Expected)), minStall)
-	c := call{number: number, started: now, limit: load.Limit, stall: stall}
+	stall := max(time.Duration(stallFactor*float64(expected)), minStall)
+	c := call{number: number, started: now, stall: stall}
 	b.outstanding = append(b.outstanding, c)
-	b.window.floor = load.Share
 	return &Permit{backend: b, call: c}, ""
 }
 
-// Scarce reports whether the replica can take less than one exchange at a time
-// from this instance.
-func (b *Backend) Scarce() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.window.size() < 1
-}
-
 // Send runs one exchange and records its end. expected is the usual latency.
 func (p *Permit) Send(ctx context.Context, w Work, expected time.Duration) (Result, time.Duration) {
 	r := p.backend.client.Send(ctx, w)
@@ -182,7 +158,6 @@
 func (b *Backend) finish(p *Permit, ctx context.Context, r Result, took, expected time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	inFlight := len(b.outstanding)
 	b.outstanding = slices.DeleteFunc(b.outstanding, func(c call) bool { return c.number == p.call.number })
 	if until := now.Add(r.WarmupLeft); r.WarmupLeft > 0 && until.After(b.coldTill) {
 		b.coldTill = until
@@ -193,12 +168,10 @@
 	case abandoned && took < p.call.stall:
 		// The exchange was given up before it was late; it says nothing.
 	case abandoned:
-		b.window.record(p.call, took, inFlight, b.connections, now)
 		b.sample(took, expected)
 		// Without any answer, the kept connections may be dead.
 		b.client.DropIdle()
 	case r.Kind == Complete && r.Reply.Status < 500:
-		b.window.record(p.call, took, inFlight, b.connections, now)
 		b.inRow = 0
 		b.failures += sampleWeight * (0 - b.failures)
 		b.sample(took, expected)
@@ -241,7 +214,6 @@
 	}
 	b.born = born
 	b.slowness, b.failures, b.inRow, b.moved, b.warmed = 1, 0, 0, false, false
-	b.window = window{}
 	b.ejectedTill = time.Time{}
 	b.client.DropIdle()
 }
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -32,7 +32,7 @@
 
 func send(t *testing.T, p *Pool, r catalog.Replica) {
 	t.Helper()
-	permit, why := p.Backend(r, 2).Acquire(time.Now(), p.Number(), Load{Expected: time.Millisecond, Limit: time.Second})
+	permit, why := p.Backend(r, 2).Acquire(time.Now(), p.Number(), time.Time{}, 1, time.Millisecond)
 	if permit == nil {
 		t.Fatalf("no permit: %s", why)
 	}
@@ -63,7 +63,7 @@
 	sent := 0
 	for ms := range 3000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
-		if permit, _ := b.Acquire(now, uint64(ms), Load{ColdUntil: cold, ColdLimit: 5}); permit != nil {
+		if permit, _ := b.Acquire(now, uint64(ms), cold, 5, time.Millisecond); permit != nil {
 			sent++
 		}
 		if ms < 1000 && sent > 5 {
