Test the request path and the adapter; run the tests with -race

Cause: what was built had few tests. TestNoRampWithoutEvidence failed in many runs under -race: of its two shed requests, the second could start after the first had cut the limit and good answers had come in, so that no two sheds were in a row.

Ruled out: the cold-start mechanism; in the failing runs the target never turned cold.

Change: the target of that test sheds when all twelve requests are with it, which is as strict and does not depend on the scheduler. A service's budget starts with one repeat.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 test:
-	$(GO) test -count=1 -timeout 20m work
+	$(GO) test -race -count=1 -timeout 20m work
 
 # failures runs the tests over real processes. Their bounds are wall-clock times
 # (3 s), so they are not part of CI, whose verdict must not depend on the load.
--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -12,12 +12,11 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/daemon"
+	"github.com/baobabsill/baobabsill/internal/release"
 	"github.com/baobabsill/baobabsill/internal/settings"
 	"github.com/baobabsill/baobabsill/platform"
 )
 
-const version = "0.1.0"
-
 // Exit codes.
 const (
 	exitOK       = 0
@@ -26,7 +25,7 @@
 )
 
 func main() {
-	app := kingpin.New("baobabsill", "One instance of the baobabsill query tier.").Version(version)
+	app := kingpin.New("baobabsill", "One instance of the baobabsill query tier.").Version(release.Version)
 	run := app.Command("run", "Serve until SIGTERM or SIGINT; a second signal cuts the graceful shutdown short.")
 	runConfig := run.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
 	check := app.Command("check-config", "Check a settings file and open nothing.")
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/baobabsill/baobabsill/internal/release"
 )
 
 const help = `Operators' commands of baobabsill.
@@ -21,6 +23,7 @@
 	app := kingpin.New("baobabsillctl", help)
 	app.UsageWriter(env.Stdout)
 	app.ErrorWriter(env.Stderr)
+	app.Version(release.Version)
 	// Parse goes on after --help, and would print the help again.
 	stopped := false
 	app.Terminate(func(int) {
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -35,9 +35,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit := b.slack / float64(daemons)
-	// A new bucket is empty: this daemon may have spent its share before a
-	// restart.
-	b.services[service] = min(b.services[service]+b.ratio, max(limit, 1))
+	tokens, known := b.services[service]
+	if !known {
+		// Not the whole share: it may have been spent before a restart.
+		tokens = 1
+	}
+	b.services[service] = min(tokens+b.ratio, max(limit, 1))
 }
 
 // Take takes one repeat for a service and reports whether there was one.
--- /dev/null
+++ b/internal/forward/fake_test.go
@@ -0,0 +1,164 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/logs"
+	"github.com/baobabsill/baobabsill/internal/replica"
+)
+
+// fakeReplica answers exchanges in a synctest bubble. answer is called with the
+// number of the exchange, from 0.
+type fakeReplica struct {
+	id     string
+	answer func(n int, w replica.Work) (time.Duration, replica.Result)
+
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (f *fakeReplica) Send(ctx context.Context, w replica.Work) replica.Result {
+	f.mu.Lock()
+	n := len(f.times)
+	f.times = append(f.times, time.Now())
+	f.mu.Unlock()
+	took, res := f.answer(n, w)
+	select {
+	case <-time.After(took):
+		return res
+	case <-ctx.Done():
+		return replica.Result{Kind: replica.Lost, Reason: "given up"}
+	}
+}
+
+func (f *fakeReplica) DropIdle()            {}
+func (f *fakeReplica) SetConnections(int)   {}
+func (f *fakeReplica) Warm(context.Context) {}
+
+// sent returns the number of exchanges.
+func (f *fakeReplica) sent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.times)
+}
+
+func complete(id, body string) replica.Result {
+	return replica.Result{Kind: replica.Complete, Reply: replica.Reply{
+		Status: http.StatusOK, Body: []byte(body), Signature: "sig-" + id,
+	}}
+}
+
+// after answers each exchange with success after a time.
+func (f *fakeReplica) after(took time.Duration) *fakeReplica {
+	f.answer = func(int, replica.Work) (time.Duration, replica.Result) {
+		return took, complete(f.id, fmt.Sprintf("%016s", f.id))
+	}
+	return f
+}
+
+// always ends each exchange in the same way at once.
+func (f *fakeReplica) always(r replica.Result) *fakeReplica {
+	f.answer = func(int, replica.Work) (time.Duration, replica.Result) { return time.Millisecond, r }
+	return f
+}
+
+// rig is a Forwarder over fake replicas.
+type rig struct {
+	*Forwarder
+	store    *catalog.Store
+	replicas map[string]*fakeReplica // by address
+}
+
+var testRegions = map[string]string{"near": "home", "far": "abroad"}
+
+const testObjective = 200 * time.Millisecond
+
+// newRig returns a rig with replicas named SERVICE/ZONE, which answer after 10 ms
+// in zone near and 40 ms in zone far.
+func newRig(names ...string) *rig {
+	r := &rig{store: catalog.NewStore(time.Second), replicas: map[string]*fakeReplica{}}
+	list := map[string]catalog.Replica{}
+	for _, name := range names {
+		var service, zone string
+		for i := range name {
+			if name[i] == '/' {
+				service, zone = name[:i], name[i+1:]
+			}
+		}
+		took := 10 * time.Millisecond
+		if zone == "far" {
+			took = 40 * time.Millisecond
+		}
+		r.replicas[name] = (&fakeReplica{id: name}).after(took)
+		list[name] = catalog.Replica{ID: name, Service: service, Address: name, Zone: zone, Slots: 4}
+	}
+	r.store.UpdateReplicas(func(replicas map[string]catalog.Replica) {
+		for id, rep := range list {
+			replicas[id] = rep
+		}
+	})
+	r.store.SetDaemons([]string{"d1"})
+	pool := replica.NewPool(func(address string) replica.Client { return r.replicas[address] })
+	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, Options{
+		Place:      Place{Zone: "near", Region: "home", Regions: testRegions},
+		Shares:     Shares{Self: "d1", ColdOverage: 1, ColdSlack: 0},
+		RetryRatio: 0.2, RetrySlack: 20, MaxInFlight: 1000,
+	})
+	return r
+}
+
+// route puts one route in force; its services are those of the replicas.
+func (r *rig) route(route catalog.Route) *rig {
+	route.Name, route.Host, route.Prefix = "r", "h", "/p/"
+	if route.Timeout == 0 {
+		route.Timeout = 2 * time.Second
+	}
+	route.Objective = testObjective
+	route.MaxAttempts = max(route.MaxAttempts, 2)
+	var services []catalog.Service
+	for name := range r.replicas {
+		rep, _ := r.store.Load().Replica(name)
+		if !slices.ContainsFunc(services, func(s catalog.Service) bool { return s.Name == rep.Service }) {
+			services = append(services, catalog.Service{Name: rep.Service, MaxConnections: 100, ColdRate: 10})
+		}
+	}
+	r.store.SetConfig(catalog.NewConfig(time.Now().UnixNano(), []catalog.Route{route}, services, catalog.Limits{}))
+	return r
+}
+
+func (r *rig) ask(ctx context.Context) (Answer, time.Duration) {
+	start := time.Now()
+	a := r.Serve(ctx, &Request{
+		AttemptID: "a1", Method: "GET", URI: "/p/x", Path: "/p/x", Host: "h", Arrived: start, Patience: 2 * time.Second,
+	})
+	return a, time.Since(start)
+}
+
+// warm sends requests so that latencies are known and the budget is full.
+func (r *rig) warm(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		if a, _ := r.ask(t.Context()); a.Code != Forwarded && a.Code != Merged {
+			t.Fatalf("warm-up ended with %s: %s", a.Code, a.Reason)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f(t)
+		time.Sleep(time.Minute) // exchanges that were given up end
+	})
+}
--- a/internal/target/limiter_test.go
+++ b/internal/target/limiter_test.go
@@ -23,9 +23,15 @@
 		if b.limit() != 1 {
 			t.Errorf("limit %d after %d answers", b.limit(), RampSuccesses-1)
 		}
+		// The target sheds two requests when all twelve are with it, so that all
+		// were sent before it turned cold.
+		var arrived sync.WaitGroup
+		arrived.Add(12)
 		many := newBench(t, 12).warm()
 		many.fake.handle = func(c net.Conn, r *http.Request) bool {
+			arrived.Done()
 			if a := r.Header.Get("X-Attempt-Id"); a == "0-0" || a == "1-0" {
+				arrived.Wait()
 				return many.fake.refuse(c, r, 503, "shed")
 			}
 			return many.fake.good(c, r, RampInterval+100*time.Millisecond)
