--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -293,9 +293,9 @@
 		t.Errorf("metrics left out: %s", out.Bytes())
 	}
 	http.DefaultClient.CloseIdleConnections()
-	redirectHertzLog(logger)
+	logs.RedirectHertz(logger)
 	hlog.Warnf("slow %d", 7)
-	redirectHertzLog(logs.OrDiscard(nil))
+	logs.RedirectHertz(logs.OrDiscard(nil))
 	var line map[string]any
 	if err := json.Unmarshal(out.Bytes(), &line); err != nil || line["message"] != "slow 7" || line["level"] != "warn" {
 		t.Errorf("log line %s: %v", out.Bytes(), err)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -99,7 +99,7 @@
 // log, which is one per process.
 func NewServer(logger *log.Logger, o Options, searcher Searcher, once Once, status StatusSource) *Server {
 	logger = logs.OrDiscard(logger)
-	redirectHertzLog(logger)
+	logs.RedirectHertz(logger)
 	return &Server{logger: logger, o: o.withDefaults(), searcher: searcher, once: once, status: status}
 }
 
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,300 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/logs"
+	"github.com/baobabsill/baobabsill/internal/settings"
+	"github.com/baobabsill/baobabsill/platform/platformtest"
+)
+
+// deployment is an instance over stand-ins of the users' platform.
+type deployment struct {
+	t        *testing.T
+	store    *platformtest.Store
+	replicas []*platformtest.Replica
+	settings settings.Edge
+	path     string
+	hup      chan os.Signal
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+const settingsFile = `[instance]
+name = d1
+zone = near
+region = home
+zones = near:home,far:abroad
+caller_listen = %s
+ready_listen = %s
+metrics_listen = %s
+[platform]
+address = %s
+contact = 1s
+[shutdown]
+grace = 2s
+[limits]
+max_in_flight = %d
+`
+
+func (d *deployment) writeSettings(maxInFlight int) {
+	d.t.Helper()
+	text := fmt.Sprintf(settingsFile, d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.store.Address(), maxInFlight)
+	if err := os.WriteFile(d.path, []byte(text), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func config(version int, shards ...string) map[string]any {
+	services := []any{}
+	for _, s := range []string{"s", "t"} {
+		services = append(services, map[string]any{"name": s, "max-connections": 20, "warmup-s": 1, "warmup-per-s": 10})
+	}
+	return map[string]any{
+		"version": version, "services": services,
+		"limits": map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1000, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
+		"routes": []any{
+			map[string]any{"name": "one", "hostname": "h", "path-prefix": "/one/", "type": "non_idempotent", "timeout-ms": 1000, "target-latency-ms": 300, "max-attempts": 2, "service": "s"},
+			map[string]any{"name": "all", "hostname": "h", "path-prefix": "/all/", "type": "idempotent", "timeout-ms": 1000, "target-latency-ms": 300, "max-attempts": 2, "fanout-services": shards, "top-k": 2, "min-shard-share": 0.5},
+		},
+	}
+}
+
+func deploy(t *testing.T) *deployment {
+	d := &deployment{t: t, store: platformtest.NewStore(t), path: filepath.Join(t.TempDir(), "settings.ini"), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen =
+		platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t)
+	d.writeSettings(100)
+	for i, service := range []string{"s", "t"} {
+		r := platformtest.NewReplica(t, service+"-1", service, "near", strings.Repeat(string(rune('a'+i)), 16)+strings.Repeat("0", 16)+"rest")
+		d.replicas = append(d.replicas, r)
+		d.store.Put("servers", r.ID, r.Spec("ready"))
+	}
+	d.store.Put("config", "main", config(1, "s", "t"))
+	d.start()
+	return d
+}
+
+func (d *deployment) start() {
+	d.t.Helper()
+	s, faults := settings.LoadEdge(d.path)
+	if len(faults) > 0 {
+		d.t.Fatal(faults)
+	}
+	daemon, err := New(logs.OrDiscard(nil), s, d.path, d.hup)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	go func() { d.ended <- daemon.Run(ctx, context.Background()) }()
+	d.t.Cleanup(stop)
+	d.eventually("ready", func() bool { return d.readyStatus() == http.StatusOK })
+}
+
+func (d *deployment) eventually(what string, f func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			d.t.Fatalf("never %s", what)
+		}
+	}
+}
+
+func (d *deployment) readyStatus() int {
+	resp, err := http.Get("http://" + d.settings.ReadyListen + "/v1/ready")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (d *deployment) request(method, path, body string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+d.settings.CallerListen+path, strings.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Attempt-Id", "a1")
+	req.Header.Set("X-Deadline-Ms", "900")
+	return req
+}
+
+func (d *deployment) do(method, path, body string) (int, http.Header, string) {
+	d.t.Helper()
+	resp, err := http.DefaultClient.Do(d.request(method, path, body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(data)
+}
+
+// TestWholePath serves requests of both kinds over the adapter, follows a change
+// of the configuration and an outage of the store, and stops gracefully.
+func TestWholePath(t *testing.T) {
+	d := deploy(t)
+	status, header, body := d.do("GET", "/all/x", "")
+	if status != 200 || body != strings.Repeat("b", 16)+strings.Repeat("a", 16) {
+		t.Errorf("query: %d %q", status, body)
+	}
+	if header.Get("X-Part-Stamps") != "s-1.a1, t-1.a1" || header.Get("X-Missing-Parts") != "0" {
+		t.Errorf("query: %v", header)
+	}
+	if status, header, body = d.do("POST", "/one/x", "order"); status != 200 || header.Get("X-Server-Stamp") != "s-1.a1" || len(body) != 36 {
+		t.Errorf("order: %d %v %q", status, header, body)
+	}
+	if status, _, _ = d.do("GET", "/none/x", ""); status != 404 {
+		t.Errorf("unknown path: %d", status)
+	}
+	if status, _, _ = d.do("POST", "/one/x", strings.Repeat("x", 2000)); status != 413 {
+		t.Errorf("large body: %d", status)
+	}
+
+	d.store.Put("config", "main", config(2, "s"))
+	d.eventually("on version 2", func() bool {
+		_, h, _ := d.do("GET", "/all/x", "")
+		return h.Get("X-Part-Stamps") == "s-1.a1"
+	})
+	d.store.SetAway(true)
+	if status, _, _ = d.do("GET", "/all/x", ""); status != 200 {
+		t.Errorf("without the store: %d", status)
+	}
+	d.store.SetAway(false)
+	d.store.Put("evacuations", "near", map[string]any{})
+	d.eventually("evacuated", func() bool {
+		status, h, _ := d.do("POST", "/one/x", "order")
+		return status == 503 && h.Get("Retry-After") != ""
+	})
+
+	d.stop()
+	d.eventually("not ready", func() bool { return d.readyStatus() != http.StatusOK })
+	if err := <-d.ended; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if names := d.store.Names("daemons"); len(names) != 0 {
+		t.Errorf("still listed: %v", names)
+	}
+}
+
+// Guards against a request that a stop cuts off, and callers that keep their
+// connections to an instance that stops.
+func TestStopAnswersWhatWasRead(t *testing.T) {
+	d := deploy(t)
+	d.replicas[0].SetTook(500 * time.Millisecond)
+	c, err := net.Dial("tcp", d.settings.CallerListen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for i := range 2 {
+		if i == 1 {
+			d.stop()
+			time.Sleep(50 * time.Millisecond)
+		}
+		if err := d.request("POST", "/one/x", "order").Write(c); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != 200 || resp.Close != (i == 1) {
+			t.Errorf("request %d: %d, closes: %v", i, resp.StatusCode, resp.Close)
+		}
+	}
+	if err := <-d.ended; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
+// Guards against a request that hides inside another one.
+func TestAmbiguousLengthsAreRefused(t *testing.T) {
+	d := deploy(t)
+	hidden := "0\r\n\r\nPOST /one/y HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a2\r\n\r\n"
+	for name, fields := range map[string]string{
+		"length and chunks": "Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"chunks and length": "transfer-encoding: chunked\r\ncontent-length: 60\r\n\r\n",
+		"two lengths":       "Content-Length: 60\r\nContent-Length: 5\r\n\r\n",
+		"space in name":     "Content-Length : 60\r\n\r\n",
+		"bare line end":     "X-A: b\nContent-Length: 60\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", d.settings.CallerListen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "POST /one/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"+fields+hidden); err != nil {
+			t.Fatal(err)
+		}
+		c.(*net.TCPConn).CloseWrite() //nolint:errcheck // the answer shows a failure
+		data, _ := io.ReadAll(c)
+		c.Close()
+		if !bytes.HasPrefix(data, []byte("HTTP/1.1 400")) || bytes.Count(data, []byte("HTTP/1.1")) != 1 {
+			t.Errorf("%s: answer %q", name, data)
+		}
+	}
+	if n := d.replicas[0].Requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the replica", n)
+	}
+}
+
+// Guards replicas against work for callers that have left.
+func TestLeavingCallerCancelsItsRequest(t *testing.T) {
+	d := deploy(t)
+	d.replicas[0].SetTook(700 * time.Millisecond)
+	c, err := net.Dial("tcp", d.settings.CallerListen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.request("POST", "/one/x", "order").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	c.Close()
+	time.Sleep(time.Second)
+	if n := d.replicas[0].Requests.Load(); n != 0 {
+		t.Error("the replica went on after its caller had left")
+	}
+}
+
+// Guards against a signal that ends the process, and against settings that come
+// without one.
+func TestSettingsAreReadAgain(t *testing.T) {
+	d := deploy(t)
+	d.writeSettings(0) // not usable: the present ones stay
+	d.hup <- os.Interrupt
+	time.Sleep(50 * time.Millisecond)
+	if status, _, _ := d.do("GET", "/all/x", ""); status != 200 {
+		t.Errorf("after unusable settings: %d", status)
+	}
+	d.replicas[0].SetTook(300 * time.Millisecond)
+	d.writeSettings(1)
+	d.eventually("on the new limit", func() bool {
+		go func() {
+			if resp, err := http.DefaultClient.Do(d.request("POST", "/one/x", "order")); err == nil {
+				resp.Body.Close()
+			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+		status, _, _ := d.do("GET", "/all/x", "")
+		return status == 503
+	})
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/baobabsill/baobabsill/internal/forward"
 	"github.com/baobabsill/baobabsill/internal/listener"
+	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
 // Codec translates between HTTP and the types of the product.
@@ -72,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	logs.RedirectHertz(logger)
 	s := &Server{logger: logger, listener: listener.New(ln, readTimeout, nil), codec: codec, forwarder: forwarder, limits: limits}
 	s.engine = newEngine(s.listener,
 		server.WithSenseClientDisconnection(true),
@@ -142,7 +144,7 @@
 		header.Add(string(k), string(v))
 		headerBytes += len(k) + len(v) + len(": \r\n")
 	})
-	if status := s.check(c, header, headerBytes); status != 0 {
+	if status := s.check(c, headerBytes); status != 0 {
 		c.SetConnectionClose()
 		c.SetStatusCode(status)
 		return
@@ -167,11 +169,11 @@
 
 // check returns the status of a request that is refused before it is decoded,
 // or 0.
-func (s *Server) check(c *app.RequestContext, header http.Header, headerBytes int) int {
+func (s *Server) check(c *app.RequestContext, headerBytes int) int {
 	limits := s.limits()
 	switch {
-	case header.Get("Transfer-Encoding") != "" && header.Get("Content-Length") != "":
-		return http.StatusBadRequest // two lengths would let a request hide in another
+	case ambiguous(c.Request.Header.RawHeaders()):
+		return http.StatusBadRequest
 	case limits.HeaderBytes > 0 && headerBytes > limits.HeaderBytes:
 		return http.StatusRequestHeaderFieldsTooLarge
 	case limits.BodyBytes > 0 && len(c.Request.Body()) > limits.BodyBytes:
--- a/internal/api/hertzlog.go
+++ b/internal/logs/hertz.go
@@ -1,4 +1,4 @@
-package api
+package logs
 
 import (
 	"context"
@@ -9,8 +9,6 @@
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/phuslu/log"
-
-	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
 // hertzLog writes Hertz's own log into the JSON log. Notice maps to info, and
@@ -23,14 +21,15 @@
 // without synchronization while servers run. Its destination may change.
 var processHertzLog = sync.OnceValue(func() *hertzLog {
 	h := &hertzLog{}
-	h.logger.Store(logs.OrDiscard(nil))
+	h.logger.Store(OrDiscard(nil))
 	hlog.SetLogger(h)
 	hlog.SetSystemLogger(h)
 	return h
 })
 
-// redirectHertzLog makes logger the destination of Hertz's log.
-func redirectHertzLog(logger *log.Logger) { processHertzLog().logger.Store(logger) }
+// RedirectHertz makes logger the destination of Hertz's log, which is one per
+// process.
+func RedirectHertz(logger *log.Logger) { processHertzLog().logger.Store(logger) }
 
 func (h *hertzLog) write(level log.Level, v []any) {
 	h.logger.Load().WithLevel(level).Str("source", "hertz").Msg(fmt.Sprint(v...))
