--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -17,7 +17,7 @@
 
 // budgetShare is the part of the bound that is used. The rest covers daemons
 // that the others do not know of yet.
-const budgetShare = 0.9
+const budgetShare = 0.97
 
 // NewBudget returns a Budget without any repeats.
 func NewBudget() *Budget { return &Budget{services: map[string]float64{}} }
