Learn from other instances while the store turns this one away

Cause: instances that the store turned away kept to old shards until their replicas were gone: with 24 s of it and a reshard, 5 to 6% of the requests failed.

Change: each instance keeps the objects that it has read, and asks a random other one for later revisions each 500 ms while its own link is lost, by Fetch of the peer protocol. A call that tries a lost link ends after 800 ms, so that the return of a silent store is seen soon. The end of a cold start is the earliest that the reports of a replica bound it by.

--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -39,8 +39,16 @@
 	if !report.supersedes(r) {
 		return r
 	}
-	if report.Born == r.Born && r.Draining {
+	if report.Born != r.Born {
+		return report
+	}
+	if r.Draining {
 		report.Draining = true
 	}
+	if report.WarmupLeft < r.WarmupLeft && r.ColdUntil.Before(report.ColdUntil) {
+		// Each report of one cold start bounds its end from above; the one that
+		// arrived fastest bounds it best.
+		report.ColdUntil = r.ColdUntil
+	}
 	return report
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -20,6 +20,8 @@
 	// Daemons are the names of the daemons that share the replicas; nil until
 	// their list was read.
 	Daemons []string
+	// Addresses maps daemons to their addresses for other instances, IP:port.
+	Addresses map[string]string
 	// PeakDaemons is the largest number of daemons that were listed at once. An
 	// instance that stops for a restart is back within seconds.
 	PeakDaemons int
@@ -131,10 +133,11 @@
 	})
 }
 
-// SetDaemons replaces the list of daemons.
-func (s *Store) SetDaemons(names []string) {
+// SetDaemons replaces the list of daemons and their addresses.
+func (s *Store) SetDaemons(addresses map[string]string) {
 	s.update(func(next *Snapshot) {
-		next.Daemons = slices.Sorted(slices.Values(names))
-		next.PeakDaemons = max(next.PeakDaemons, len(names))
+		next.Addresses = maps.Clone(addresses)
+		next.Daemons = slices.Sorted(maps.Keys(addresses))
+		next.PeakDaemons = max(next.PeakDaemons, len(addresses))
 	})
 }
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/baobabsill/baobabsill/internal/follow"
 	"github.com/baobabsill/baobabsill/internal/forward"
 	"github.com/baobabsill/baobabsill/internal/ingress"
+	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/replica"
 	"github.com/baobabsill/baobabsill/internal/settings"
 	"github.com/baobabsill/baobabsill/platform"
@@ -42,6 +43,8 @@
 	server    *ingress.Server
 	ready     *ingress.Admin
 	operators *ingress.Admin
+	conns     *peer.Conns
+	peers     *peer.Server
 	metrics   io.Closer
 	stopping  atomic.Bool
 	wasReady  atomic.Bool
@@ -81,7 +84,10 @@
 	if d.operators, err = ingress.NewAdmin(s.MetricsListen, ingress.AdminOptions{Metrics: metricsHandler, Status: d.status}); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	d.follow()
+	d.follow(source)
+	if err := d.peers.Listen(); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.upkeep, d.watchSettings)
 	return d, nil
 }
@@ -108,25 +114,32 @@
 	replicaGather = 500 * time.Millisecond
 )
 
-// follow adds the controllers that follow the store.
-func (d *Daemon) follow() {
-	self := d.settings.Load().Name
-	wait := time.Duration(watchShare * float64(d.settings.Load().Contact))
-	replicas := follow.NewReplicaSink(d.logger, d.catalog, d.link)
-	d.runners = append(d.runners, replicas.Run,
-		follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
-			follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, wait, 0).Run,
-		follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), replicas, longWait, replicaGather).Run,
-		follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
-			follow.NewZoneSink(d.logger, d.catalog), longWait, 0).Run,
+// follow adds the controllers that follow the store, and the relay between
+// instances.
+func (d *Daemon) follow(source net.IP) {
+	s := d.settings.Load()
+	wait := time.Duration(watchShare * float64(s.Contact))
+	sink := follow.NewReplicaSink(d.logger, d.catalog, d.link)
+	config := follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
+		follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, wait, 0)
+	replicas := follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), sink, longWait, replicaGather)
+	evacuations := follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
+		follow.NewZoneSink(d.logger, d.catalog), longWait, 0)
+	daemons := follow.NewFollower(d.logger, "daemons", d.link, d.store.Daemons(),
+		follow.NewDaemonSink(d.logger, d.catalog, s.Name), longWait, daemonGather)
+	d.conns = peer.NewConns(d.logger, source)
+	relay := follow.NewRelay(d.logger, d.link,
+		&peers{self: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.conns},
+		config, replicas, evacuations, daemons)
+	d.peers = peer.NewServer(d.logger, s.PeerListen, peerService{relay})
+	d.runners = append(d.runners, sink.Run, config.Run, replicas.Run, evacuations.Run, relay.Run, d.peers.Run,
 		func(ctx context.Context) error {
-			if follow.Register(ctx, d.logger, d.link, d.store, self) {
+			if follow.Register(ctx, d.logger, d.link, d.store, s.Name, s.PeerListen) {
 				// The earlier process, if any, has closed its connections.
 				d.restartedUntil.Store(0)
 				d.forwarder.Configure(d.forwardOptions(*d.settings.Load()))
 			}
-			return follow.NewFollower(d.logger, "daemons", d.link, d.store.Daemons(),
-				follow.NewDaemonSink(d.logger, d.catalog, self), longWait, daemonGather).Run(ctx)
+			return daemons.Run(ctx)
 		},
 	)
 }
@@ -155,6 +168,7 @@
 	}
 	err := d.shutdown(force)
 	cancel()
+	d.conns.Close()
 	d.pool.Close()
 	d.store.Close()
 	return errs.Combine(err, group.Wait(), d.metrics.Close())
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -39,6 +39,7 @@
 caller_listen = %s
 ready_listen = %s
 metrics_listen = %s
+peer_listen = %s
 [platform]
 address = %s
 contact = 1s
@@ -50,7 +51,7 @@
 
 func (d *deployment) writeSettings(maxInFlight int) {
 	d.t.Helper()
-	text := fmt.Sprintf(settingsFile, d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.store.Address(), maxInFlight)
+	text := fmt.Sprintf(settingsFile, d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.settings.PeerListen, d.store.Address(), maxInFlight)
 	if err := os.WriteFile(d.path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -73,8 +74,8 @@
 
 func deploy(t *testing.T) *deployment {
 	d := &deployment{t: t, store: platformtest.NewStore(t), path: filepath.Join(t.TempDir(), "settings.ini"), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
-	d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen =
-		platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t)
+	d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.settings.PeerListen =
+		platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t)
 	d.writeSettings(100)
 	for i, service := range []string{"s", "t"} {
 		r := platformtest.NewReplica(t, service+"-1", service, "near", strings.Repeat(string(rune('a'+i)), 16)+strings.Repeat("0", 16)+"rest")
--- a/internal/follow/daemons.go
+++ b/internal/follow/daemons.go
@@ -13,8 +13,9 @@
 
 // Registry holds one object a daemon.
 type Registry interface {
-	// Register creates the object of a daemon. created is false if it existed.
-	Register(ctx context.Context, name string) (created bool, err error)
+	// Register creates the object of a daemon with its address for other
+	// instances. created is false if it existed.
+	Register(ctx context.Context, name, address string) (created bool, err error)
 	// Deregister removes the object of a daemon; it may be missing.
 	Deregister(ctx context.Context, name string) error
 }
@@ -24,51 +25,53 @@
 	logger *log.Logger
 	store  *catalog.Store
 	self   string
-	names  map[string]bool
+	names  map[string]string // to addresses
 }
 
 // NewDaemonSink returns a DaemonSink of the daemon self, which always counts.
 func NewDaemonSink(logger *log.Logger, store *catalog.Store, self string) *DaemonSink {
-	return &DaemonSink{logger: logger, store: store, self: self, names: map[string]bool{}}
+	return &DaemonSink{logger: logger, store: store, self: self, names: map[string]string{}}
 }
 
 // Replace implements Sink.
-func (s *DaemonSink) Replace(items []Item[struct{}]) {
+func (s *DaemonSink) Replace(items []Item[string]) {
 	clear(s.names)
 	for _, item := range items {
-		s.names[item.Name] = true
+		s.names[item.Name] = item.Value
 	}
 	s.publish()
 }
 
 // Apply implements Sink.
-func (s *DaemonSink) Apply(changes []Change[struct{}]) {
+func (s *DaemonSink) Apply(changes []Change[string]) {
 	for _, c := range changes {
 		if c.Deleted {
 			delete(s.names, c.Name)
 		} else {
-			s.names[c.Name] = true
+			s.names[c.Name] = c.Value
 		}
 	}
 	s.publish()
 }
 
 func (s *DaemonSink) publish() {
-	s.names[s.self] = true
+	if _, listed := s.names[s.self]; !listed {
+		s.names[s.self] = ""
+	}
 	names := slices.Sorted(maps.Keys(s.names))
 	if slices.Equal(names, s.store.Load().Daemons) {
 		return
 	}
-	s.store.SetDaemons(names)
+	s.store.SetDaemons(s.names)
 	s.logger.Info().Str("event", "daemons").Int("daemons", len(names)).Msg("list of daemons changed")
 }
 
 // Register writes the object of this daemon until the store has taken it. It
 // returns false if an earlier process of the daemon ended without removing it.
-func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name string) (created bool) {
+func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name, address string) (created bool) {
 	for ctx.Err() == nil {
 		err := link.call(ctx, "daemons", func(ctx context.Context) (err error) {
-			created, err = registry.Register(ctx, name)
+			created, err = registry.Register(ctx, name, address)
 			return err
 		})
 		if err == nil {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -35,8 +36,14 @@
 	sink   Sink[T]
 	wait   time.Duration
 	gather time.Duration
+
+	mirror
+	applying sync.Mutex // orders the calls of the sink
 }
 
+// Kind returns the name of the kind.
+func (f *Follower[T]) Kind() string { return f.kind }
+
 // NewFollower returns a Follower. wait is the longest time that a watch waits
 // for a change; a silent store is noticed after it. gather is the pause after
 // changes in which further ones gather, because each call has a price.
@@ -47,37 +54,77 @@
 // Run follows the kind until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		revision, ok := f.list(ctx)
-		if !ok {
-			continue
+		if f.list(ctx) {
+			f.watch(ctx)
 		}
-		f.watch(ctx, revision)
 	}
 	return nil
 }
 
-func (f *Follower[T]) list(ctx context.Context) (revision int64, ok bool) {
+func (f *Follower[T]) list(ctx context.Context) bool {
 	var items []Item[T]
+	var revision int64
 	err := f.link.call(ctx, f.kind, func(ctx context.Context) (err error) {
 		items, revision, err = f.source.List(ctx)
 		return err
 	})
 	if err != nil {
-		return 0, false
+		return false
 	}
 	f.logger.Info().Str("event", "listed").Str("kind", f.kind).Int("objects", len(items)).Int64("revision", revision).Msg("list read")
 	f.link.note(revision)
-	f.sink.Replace(items)
-	return revision, true
+	f.replace(items, revision)
+	return true
+}
+
+// replace takes a whole list over, unless a later one is in.
+func (f *Follower[T]) replace(items []Item[T], revision int64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	raw := make([]RawObject, len(items))
+	for i, item := range items {
+		raw[i] = RawObject{Name: item.Name, Revision: item.Revision, Value: item.Raw}
+	}
+	if f.mirror.replace(raw, revision) {
+		f.sink.Replace(items)
+	}
+}
+
+// TakeOver implements Relayed.
+func (f *Follower[T]) TakeOver(l Listing) {
+	items := make([]Item[T], len(l.Objects))
+	for i, o := range l.Objects {
+		items[i] = f.source.Decode(o)
+	}
+	f.replace(items, l.Revision)
+}
+
+func (f *Follower[T]) apply(changes []Change[T], revision int64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	var changed []RawObject
+	var deleted []string
+	for _, c := range changes {
+		if c.Deleted {
+			deleted = append(deleted, c.Name)
+		} else {
+			changed = append(changed, RawObject{Name: c.Name, Revision: c.Revision, Value: c.Raw})
+		}
+	}
+	f.mirror.advance(changed, deleted, revision)
+	if len(changes) > 0 {
+		f.sink.Apply(changes)
+	}
 }
 
 // watch returns when the history is gone.
-func (f *Follower[T]) watch(ctx context.Context, revision int64) {
+func (f *Follower[T]) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := f.wait
 		if f.link.Lost() {
 			wait = probeWait
 		}
+		revision := f.Revision()
 		changes, next, err := f.poll(ctx, revision, wait)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -86,9 +133,8 @@
 		case err != nil:
 			continue
 		}
-		revision = next
+		f.apply(changes, next)
 		if len(changes) > 0 {
-			f.sink.Apply(changes)
 			sleep(ctx, f.gather)
 		}
 	}
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -15,6 +15,10 @@
 	// outage is prolonged.
 	firstBackoff = 200 * time.Millisecond
 	maxBackoff   = time.Second
+	// probeTimeout bounds a call that tries a lost link, so that the return of a
+	// store that was silent is seen soon. It is well above the answers of a slow
+	// store, some hundred milliseconds.
+	probeTimeout = 800 * time.Millisecond
 	// staleGrace is how long a watch may take to report a change after another
 	// answer named its revision. After it, the watch is armed again: a store that
 	// drops its history may leave a watch waiting that hears nothing any more.
@@ -187,7 +191,9 @@
 	if !sleep(ctx, l.backoff()) {
 		return ctx.Err()
 	}
-	err := f(ctx)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := f(probeCtx)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- /dev/null
+++ b/internal/follow/mirror.go
@@ -0,0 +1,74 @@
+package follow
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// RawObject is an object as the store sent it.
+type RawObject struct {
+	Name     string
+	Revision int64
+	Value    []byte
+}
+
+// mirror holds the objects of a kind as they were read, so that other instances
+// can ask for them. It is safe for concurrent use.
+type mirror struct {
+	mu       sync.Mutex
+	revision int64 // up to which all changes are in
+	objects  map[string]RawObject
+}
+
+// Revision returns the revision up to which the kind was read; 0 if it never was.
+func (m *mirror) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// replace takes a whole list. It reports false if the list is older than what is
+// held.
+func (m *mirror) replace(objects []RawObject, revision int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision < m.revision {
+		return false
+	}
+	m.revision, m.objects = revision, make(map[string]RawObject, len(objects))
+	for _, o := range objects {
+		m.objects[o.Name] = o
+	}
+	return true
+}
+
+// advance takes changes since the revision that is held.
+func (m *mirror) advance(changed []RawObject, deleted []string, revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision = max(m.revision, revision)
+	for _, o := range changed {
+		m.objects[o.Name] = o
+	}
+	for _, name := range deleted {
+		delete(m.objects, name)
+	}
+}
+
+// Held returns all objects and their revision, and false if it is not later than
+// since.
+func (m *mirror) Held(since int64) (Listing, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.revision <= since {
+		return Listing{}, false
+	}
+	return Listing{Revision: m.revision, Objects: slices.Collect(maps.Values(m.objects))}, true
+}
+
+// Listing is the whole content of a kind at a revision.
+type Listing struct {
+	Revision int64
+	Objects  []RawObject
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -18,6 +18,7 @@
 	Revision int64
 	Value    T
 	Valid    bool
+	Raw      []byte // the value as the store sent it
 }
 
 // Change is a change of one object. A deleted object has its name only.
@@ -34,6 +35,8 @@
 	// Watch waits up to wait for changes after a revision. Without a change, it
 	// returns none.
 	Watch(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
+	// Decode returns the item of an object as the store sent it.
+	Decode(o RawObject) Item[T]
 }
 
 // Sink takes over what a Follower reads. Its methods are called by one
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -107,7 +107,7 @@
 			replicas[id] = rep
 		}
 	})
-	r.store.SetDaemons([]string{"d1"})
+	r.store.SetDaemons(map[string]string{"d1": ""})
 	pool := replica.NewPool(func(address string) replica.Client { return r.replicas[address] })
 	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, Options{
 		Place:      Place{Zone: "near", Region: "home", Regions: testRegions},
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -183,7 +183,7 @@
 		r := newRig("s/near", "s/far").route(catalog.Route{Idempotent: true, Service: "s"})
 		r.warm(t, 20)
 		r.replicas["s/far"].always(replica.Result{Kind: replica.NotSent, Unreachable: true, Reason: "connection"})
-		r.store.SetDaemons(make20()) // one connection a daemon
+		r.store.SetDaemons(manyDaemons()) // one connection a daemon
 		for range 3 {
 			r.ask(t.Context())
 		}
@@ -202,10 +202,10 @@
 	})
 }
 
-func make20() []string {
-	names := []string{"d1"}
+func manyDaemons() map[string]string {
+	names := map[string]string{"d1": ""}
 	for i := range 79 {
-		names = append(names, fmt.Sprintf("e%d", i))
+		names[fmt.Sprintf("e%d", i)] = ""
 	}
 	return names
 }
@@ -324,9 +324,9 @@
 // Guards the limits of a replica with few and with many daemons.
 func TestSharesKeepTheLimits(t *testing.T) {
 	for _, n := range []int{1, 8, 11, 64, 77} {
-		names := make([]string, n)
-		for i := range names {
-			names[i] = fmt.Sprintf("front-%d", i)
+		names := map[string]string{}
+		for i := range n {
+			names[fmt.Sprintf("front-%d", i)] = ""
 		}
 		store := catalog.NewStore(0)
 		store.SetDaemons(names)
@@ -336,7 +336,7 @@
 		for i := range 200 {
 			r := catalog.Replica{ID: fmt.Sprintf("r%d", i), Service: "s"}
 			connections, cold := 0, 0
-			for _, self := range names {
+			for self := range names {
 				s := Shares{Self: self, ColdOverage: 1.5, ColdSlack: 5}
 				if s.admits(snap, r) {
 					connections += s.connections(snap, r)
@@ -351,7 +351,7 @@
 				t.Fatalf("%d daemons: %d requests a second to a cold replica", n, cold)
 			}
 		}
-		for _, self := range names {
+		for self := range names {
 			if used[self] < 100 {
 				t.Errorf("%d daemons: %s sends to %d of 200 replicas", n, self, used[self])
 			}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -17,8 +17,12 @@
 	Bootstrap bool
 	// Zones maps each availability zone of the deployment to its region.
 	Zones map[string]string
-	// CallerListen, ReadyListen and MetricsListen are IP:port.
-	CallerListen, ReadyListen, MetricsListen string
+	// CallerListen, ReadyListen, MetricsListen and PeerListen are IP:port. Other
+	// instances reach this one at PeerListen.
+	CallerListen, ReadyListen, MetricsListen, PeerListen string
+	// Seeds are peer addresses that may be asked before the list of instances is
+	// known.
+	Seeds []string
 
 	PlatformAddress string
 	// Contact is the time after a disturbance of the platform within which the
@@ -50,6 +54,8 @@
 		{"instance.caller_listen", true, "", address(&s.CallerListen)},
 		{"instance.ready_listen", true, "", address(&s.ReadyListen)},
 		{"instance.metrics_listen", true, "", address(&s.MetricsListen)},
+		{"instance.peer_listen", true, "", advertised(&s.PeerListen)},
+		{"instance.seeds", false, "", addresses(&s.Seeds)},
 		{"platform.address", true, "", advertised(&s.PlatformAddress)},
 		{"platform.contact", false, "5s", duration(&s.Contact, 500*time.Millisecond, 10*time.Minute)},
 		{"platform.heartbeat", false, "1s", duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Minute)},
