--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -30,6 +30,7 @@
 	runConfig := run.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
 	check := app.Command("check-config", "Check a settings file and open nothing.")
 	checkConfig := check.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
+	checkEdge := check.Flag("edge", "The settings are those of the command edge.").Bool()
 
 	edgeCommand := app.Command("edge", "Serve on the users' platform until SIGTERM or SIGINT.")
 	edgeConfig := edgeCommand.Flag("config", "Settings file (INI).").Envar(platform.SettingsEnv).Required().PlaceHolder("FILE").String()
@@ -41,7 +42,11 @@
 	}
 	switch command {
 	case check.FullCommand():
-		load(*checkConfig, settings.Load)
+		if *checkEdge {
+			load(*checkConfig, settings.LoadEdge)
+		} else {
+			load(*checkConfig, settings.Load)
+		}
 		fmt.Printf("%s: ok\n", *checkConfig)
 	case edgeCommand.FullCommand():
 		os.Exit(serveEdge(*edgeConfig))
