--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -24,7 +24,8 @@
 	MaxConnections int
 	// Warmup is how long a replica stays cold after a start under traffic.
 	Warmup time.Duration
-	// ColdRate is the number of requests a second that a cold replica bears.
+	// ColdRate is the number of requests a second that a cold replica bears; 0 if
+	// the service declares none.
 	ColdRate float64
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -359,6 +359,21 @@
 	}
 }
 
+// Guards against replicas that are not used for seconds after their start, though
+// their service declares no bound for cold replicas.
+func TestNoColdRateIsNoBound(t *testing.T) {
+	store := catalog.NewStore(0)
+	store.SetDaemons(manyDaemons())
+	store.SetConfig(catalog.NewConfig(1, nil, []catalog.Service{{Name: "s"}, {Name: "t", ColdRate: 800}}, catalog.Limits{}))
+	s := Shares{Self: "d1", ColdOverage: 1.5, ColdSlack: 5}
+	if n := s.coldLimit(store.Load(), catalog.Replica{Service: "s"}); n < 1000 {
+		t.Errorf("%d requests a second without a declared rate", n)
+	}
+	if n := s.coldLimit(store.Load(), catalog.Replica{Service: "t"}); n > 1205 || n == 0 {
+		t.Errorf("%d requests a second with a declared rate", n)
+	}
+}
+
 func TestSplitFollowsWeights(t *testing.T) {
 	parts := []catalog.WeightedService{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}}
 	for start := range uint64(50) {
--- a/internal/forward/shares.go
+++ b/internal/forward/shares.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"math"
+
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,8 +78,11 @@
 }
 
 // coldLimit returns the requests that this daemon may send to a cold replica in
-// any second.
+// any second. A service that declares no rate has no bound.
 func (s Shares) coldLimit(snap *catalog.Snapshot, r catalog.Replica) int {
 	rate := snap.Config.Services[r.Service].ColdRate
+	if rate <= 0 {
+		return math.MaxInt
+	}
 	return Share(rate*s.ColdOverage+s.ColdSlack, s.senders(snap, r))
 }
