Tidy the new code: one lifecycle, no unused fields

Shared by both kinds of instance: the run of the parts and the shutdown, the start in cmd. Wire names of a test moved to the stand-ins. Unused fields removed.

--- a/cmd/baobabsill/edge.go
+++ b/cmd/baobabsill/edge.go
@@ -27,14 +27,5 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	d, err := edge.New(logger, s, path, hup)
-	if err != nil {
-		logger.Error().Err(err).Msg("instance not started")
-		return exitFailure
-	}
-	stop, force := signalContexts()
-	if err := d.Run(stop, force); err != nil {
-		logger.Error().Err(err).Msg("instance failed")
-		return exitFailure
-	}
-	return exitOK
+	return runUntilSignal(logger, d, err)
 }
--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -74,6 +74,17 @@
 		Context: log.NewContext(nil).Str("instance", s.Instance.Name).Value(),
 	}
 	d, err := daemon.New(logger, s)
+	return runUntilSignal(logger, d, err)
+}
+
+// runner is an instance of either kind.
+type runner interface {
+	Run(stop, force context.Context) error
+}
+
+// runUntilSignal runs an instance, unless it could not be made, and returns the
+// exit code.
+func runUntilSignal(logger *log.Logger, d runner, err error) int {
 	if err != nil {
 		logger.Error().Err(err).Msg("instance not started")
 		return exitFailure
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,12 +12,12 @@
 
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/baobabsill/baobabsill/internal/api"
 	"github.com/baobabsill/baobabsill/internal/control"
 	"github.com/baobabsill/baobabsill/internal/dispatch"
 	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 	"github.com/baobabsill/baobabsill/internal/once"
 	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/placement"
@@ -118,28 +118,12 @@
 	d.logger.Info().Str("event", "start").Str("instance", d.self.Name).Str("zone", d.self.Zone).
 		Str("incarnation", d.self.Incarnation).Msg("instance starts")
 
-	ctx, cancel := context.WithCancel(context.WithoutCancel(force))
-	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range []func(context.Context) error{
+	parts := []func(context.Context) error{
 		d.peers.Run, d.api.Run, d.sync.Run, d.targets.Run, d.membership.Run,
 		d.placement.Run, d.dispatcher.Run, d.janitor.Run, d.becomeReady,
-	} {
-		group.Go(func() error {
-			if err := run(ctx); err != nil && ctx.Err() == nil {
-				return err
-			}
-			return nil
-		})
 	}
-	select {
-	case <-stop.Done():
-	case <-ctx.Done(): // a server failed
-		return group.Wait()
-	}
-	err := d.shutdown(force)
-	cancel()
-	return errs.Combine(err, group.Wait(), d.close())
+	err := lifecycle.Run(stop, force, parts, d.shutdown)
+	return errs.Combine(err, d.close())
 }
 
 func (d *Daemon) close() error {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -12,13 +12,13 @@
 
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/baobabsill/baobabsill/internal/api"
 	"github.com/baobabsill/baobabsill/internal/catalog"
 	"github.com/baobabsill/baobabsill/internal/follow"
 	"github.com/baobabsill/baobabsill/internal/forward"
 	"github.com/baobabsill/baobabsill/internal/ingress"
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/replica"
 	"github.com/baobabsill/baobabsill/internal/settings"
@@ -150,28 +150,11 @@
 	s := d.settings.Load()
 	d.logger.Info().Str("event", "start").Str("zone", s.Zone).Str("region", s.Region).
 		Str("callers", s.CallerListen).Str("platform", s.PlatformAddress).Msg("instance starts")
-	ctx, cancel := context.WithCancel(context.WithoutCancel(force))
-	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	for _, run := range d.runners {
-		group.Go(func() error {
-			if err := run(ctx); err != nil && ctx.Err() == nil {
-				return err
-			}
-			return nil
-		})
-	}
-	select {
-	case <-stop.Done():
-	case <-ctx.Done(): // a server failed
-		return group.Wait()
-	}
-	err := d.shutdown(force)
-	cancel()
+	err := lifecycle.Run(stop, force, d.runners, d.shutdown)
 	d.conns.Close()
 	d.pool.Close()
 	d.store.Close()
-	return errs.Combine(err, group.Wait(), d.metrics.Close())
+	return errs.Combine(err, d.metrics.Close())
 }
 
 // isReady reports whether the balancer may send callers here.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -57,21 +57,6 @@
 	}
 }
 
-func config(version int, shards ...string) map[string]any {
-	services := []any{}
-	for _, s := range []string{"s", "t"} {
-		services = append(services, map[string]any{"name": s, "max-connections": 20, "warmup-s": 1, "warmup-per-s": 10})
-	}
-	return map[string]any{
-		"version": version, "services": services,
-		"limits": map[string]any{"max-header-bytes": 4096, "max-body-bytes": 1000, "header-timeout-ms": 1000, "idle-timeout-ms": 5000},
-		"routes": []any{
-			map[string]any{"name": "one", "hostname": "h", "path-prefix": "/one/", "type": "non_idempotent", "timeout-ms": 1000, "target-latency-ms": 300, "max-attempts": 2, "service": "s"},
-			map[string]any{"name": "all", "hostname": "h", "path-prefix": "/all/", "type": "idempotent", "timeout-ms": 1000, "target-latency-ms": 300, "max-attempts": 2, "fanout-services": shards, "top-k": 2, "min-shard-share": 0.5},
-		},
-	}
-}
-
 func deploy(t *testing.T) *deployment {
 	d := &deployment{t: t, store: platformtest.NewStore(t), path: filepath.Join(t.TempDir(), "settings.ini"), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.settings.PeerListen =
@@ -80,9 +65,9 @@
 	for i, service := range []string{"s", "t"} {
 		r := platformtest.NewReplica(t, service+"-1", service, "near", strings.Repeat(string(rune('a'+i)), 16)+strings.Repeat("0", 16)+"rest")
 		d.replicas = append(d.replicas, r)
-		d.store.Put("servers", r.ID, r.Spec("ready"))
+		d.store.Put(platformtest.KindReplicas, r.ID, r.Spec("ready"))
 	}
-	d.store.Put("config", "main", config(1, "s", "t"))
+	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(1, "s", "t"))
 	d.start()
 	return d
 }
@@ -114,7 +99,7 @@
 }
 
 func (d *deployment) readyStatus() int {
-	resp, err := http.Get("http://" + d.settings.ReadyListen + "/v1/ready")
+	resp, err := http.Get("http://" + d.settings.ReadyListen + platformtest.ReadyPath)
 	if err != nil {
 		return 0
 	}
@@ -128,8 +113,8 @@
 		d.t.Fatal(err)
 	}
 	req.Host = "h"
-	req.Header.Set("X-Attempt-Id", "a1")
-	req.Header.Set("X-Deadline-Ms", "900")
+	req.Header.Set(platformtest.HeaderAttempt, "a1")
+	req.Header.Set(platformtest.HeaderDeadline, "900")
 	return req
 }
 
@@ -155,10 +140,10 @@
 	if status != 200 || body != strings.Repeat("b", 16)+strings.Repeat("a", 16) {
 		t.Errorf("query: %d %q", status, body)
 	}
-	if header.Get("X-Part-Stamps") != "s-1.a1, t-1.a1" || header.Get("X-Missing-Parts") != "0" {
+	if header.Get(platformtest.HeaderParts) != "s-1.a1, t-1.a1" || header.Get(platformtest.HeaderMissing) != "0" {
 		t.Errorf("query: %v", header)
 	}
-	if status, header, body = d.do("POST", "/one/x", "order"); status != 200 || header.Get("X-Server-Stamp") != "s-1.a1" || len(body) != 36 {
+	if status, header, body = d.do("POST", "/one/x", "order"); status != 200 || header.Get(platformtest.HeaderStamp) != "s-1.a1" || len(body) != 36 {
 		t.Errorf("order: %d %v %q", status, header, body)
 	}
 	if status, _, _ = d.do("GET", "/none/x", ""); status != 404 {
@@ -168,17 +153,17 @@
 		t.Errorf("large body: %d", status)
 	}
 
-	d.store.Put("config", "main", config(2, "s"))
+	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(2, "s"))
 	d.eventually("on version 2", func() bool {
 		_, h, _ := d.do("GET", "/all/x", "")
-		return h.Get("X-Part-Stamps") == "s-1.a1"
+		return h.Get(platformtest.HeaderParts) == "s-1.a1"
 	})
 	d.store.SetAway(true)
 	if status, _, _ = d.do("GET", "/all/x", ""); status != 200 {
 		t.Errorf("without the store: %d", status)
 	}
 	d.store.SetAway(false)
-	d.store.Put("evacuations", "near", map[string]any{})
+	d.store.Put(platformtest.KindEvacuations, "near", map[string]any{})
 	d.eventually("evacuated", func() bool {
 		status, h, _ := d.do("POST", "/one/x", "order")
 		return status == 503 && h.Get("Retry-After") != ""
@@ -189,7 +174,7 @@
 	if err := <-d.ended; err != nil {
 		t.Errorf("stop: %v", err)
 	}
-	if names := d.store.Names("daemons"); len(names) != 0 {
+	if names := d.store.Names(platformtest.KindDaemons); len(names) != 0 {
 		t.Errorf("still listed: %v", names)
 	}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -66,7 +66,7 @@
 	snap := f.store.Load()
 	a, route := f.serve(ctx, req, snap, n)
 	took := time.Since(req.Arrived)
-	f.metrics.request(route, a, took)
+	f.metrics.request(a, took)
 	f.logEnd(req, route, snap, a, took)
 	return a
 }
@@ -109,7 +109,7 @@
 	default:
 		services = []string{route.Service}
 	}
-	r := &run{f: f, ctx: ctx, req: req, route: route, version: snap.Config.Version, start: req.Arrived}
+	r := &run{f: f, ctx: ctx, req: req, route: route, start: req.Arrived}
 	r.end = r.start.Add(route.Timeout)
 	if req.Patience > 0 {
 		r.end = earlier(r.end, r.start.Add(req.Patience-deliveryMargin))
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func (m *metrics) request(_ *catalog.Route, a Answer, took time.Duration) {
+func (m *metrics) request(a Answer, took time.Duration) {
 	m.mu.Lock()
 	c := m.answers[a.Code]
 	if c == nil {
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -31,7 +31,7 @@
 		if r.route.IsScatter() {
 			if cost, over := r.overload(sh, now); over {
 				late = append(late, overloaded{i, cost.Seconds() * (1 + choiceSpread*rand.Float64())})
-				sh.closed, sh.skipped, sh.reason = true, true, "overloaded"
+				sh.closed, sh.reason = true, "overloaded"
 				continue
 			}
 		}
@@ -66,7 +66,7 @@
 	i := r.spare[0]
 	r.spare = r.spare[1:]
 	sh := &r.shards[i]
-	sh.closed, sh.skipped = false, false
+	sh.closed = false
 	r.first(i)
 	return true
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -44,9 +44,7 @@
 	// failure is the last whole answer that was not a success.
 	failure *replica.Reply
 	// closed is set when no more exchange will be started.
-	closed bool
-	// skipped is set if the shard was left out because it is overloaded.
-	skipped bool
+	closed  bool
 	reason  string
 	hedgeAt time.Time // zero for none
 	retryAt time.Time // zero for none
@@ -67,7 +65,6 @@
 	ctx     context.Context
 	req     *Request
 	route   *catalog.Route
-	version int64
 	start   time.Time
 	end     time.Time // of the time for the request
 	shards  []shard
@@ -76,9 +73,7 @@
 	cancel  context.CancelFunc
 	sendCtx context.Context
 	// spare are the shards that were left out, the best one first.
-	spare   []int
-	hedges  int
-	retries int
+	spare []int
 }
 
 // loop runs the request to its end.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -165,7 +165,6 @@
 		if permit == nil {
 			continue
 		}
-		r.hedges++
 		r.f.metrics.hedges.Inc(1)
 		r.logSend("hedge", sh, c, now)
 		r.send(i, c, permit, now)
@@ -194,7 +193,6 @@
 		return
 	}
 	if r.sendToFirst(i, list, now) {
-		r.retries++
 		r.f.metrics.retries.Inc(1)
 		r.logSend("retry", sh, list[0], now)
 	} else if sh.sends > 0 {
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -40,7 +41,6 @@
 type Backend struct {
 	ID      string
 	Service string
-	Zone    string
 	client  Client
 
 	mu          sync.Mutex
@@ -66,7 +66,7 @@
 }
 
 func newBackend(r catalog.Replica, client Client) *Backend {
-	return &Backend{ID: r.ID, Service: r.Service, Zone: r.Zone, born: r.Born, client: client, slowness: 1}
+	return &Backend{ID: r.ID, Service: r.Service, born: r.Born, client: client, slowness: 1}
 }
 
 // decay moves the averages towards their neutral values.
@@ -81,6 +81,11 @@
 	b.judgedAt = now
 }
 
+// halfLives returns the share that is left of an average after a time.
+func halfLives(d time.Duration) float64 {
+	return math.Exp2(-float64(d) / float64(healthHalfLife))
+}
+
 // Cost returns the expected latency of an exchange started now, as a multiple
 // of the latency that is usual for its route and zone, with what failures and
 // stalls cost. queued is the part of it that a slow replica or its queue takes.
