--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -107,6 +107,21 @@
 	return resp.StatusCode
 }
 
+// operators returns what operators see at a path.
+func (d *deployment) operators(path string) string {
+	d.t.Helper()
+	resp, err := http.Get("http://" + d.settings.MetricsListen + path)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return string(data)
+}
+
 func (d *deployment) request(method, path, body string) *http.Request {
 	req, err := http.NewRequest(method, "http://"+d.settings.CallerListen+path, strings.NewReader(body))
 	if err != nil {
@@ -153,6 +168,14 @@
 		t.Errorf("large body: %d", status)
 	}
 
+	d.eventually("counted", func() bool {
+		text := d.operators("/metrics")
+		return strings.Contains(text, `baobabsill_answers{outcome="merged"} 1`) && strings.Contains(text, "baobabsill_request_seconds_bucket")
+	})
+	if text := d.operators("/status"); !strings.Contains(text, `"config_version":1`) {
+		t.Errorf("status: %s", text)
+	}
+
 	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(2, "s"))
 	d.eventually("on version 2", func() bool {
 		_, h, _ := d.do("GET", "/all/x", "")
