--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -183,10 +183,15 @@
 		r := newRig("s/near", "s/far").route(catalog.Route{Idempotent: true, Service: "s"})
 		r.warm(t, 20)
 		r.replicas["s/far"].always(replica.Result{Kind: replica.NotSent, Unreachable: true, Reason: "connection"})
-		r.store.SetDaemons(manyDaemons()) // one connection a daemon
-		for range 3 {
-			r.ask(t.Context())
+		// A hedge finds out that the other replica refuses connections.
+		r.replicas["s/near"].after(150 * time.Millisecond)
+		r.ask(t.Context())
+		r.replicas["s/near"].after(10 * time.Millisecond)
+		refused := r.replicas["s/far"].sent()
+		if refused == 0 {
+			t.Fatal("no hedge was sent")
 		}
+		r.store.SetDaemons(manyDaemons()) // one connection a daemon
 		results := make(chan Answer, 4)
 		for range cap(results) {
 			go func() {
@@ -199,6 +204,9 @@
 				t.Errorf("%s: %s", a.Code, a.Reason)
 			}
 		}
+		if n := r.replicas["s/far"].sent() - refused; n > 0 {
+			t.Errorf("%d requests went to a replica that refuses connections, beside a busy one", n)
+		}
 	})
 }
 
