Give a replica that starts again a new Backend

Cause: found in the read-through. What was known of an earlier incarnation was reset field by field, and the client kept the old address if the replica came back elsewhere under its ID.

Ruled out: keying by address; reports that arrive late must not bring an earlier incarnation back.

Change: a later incarnation gets a new Backend and client; the reset is gone.

Measured: TestReplicaThatMovesIsDialedAnew failed before (dialed 10.0.0.1:80 only) and passes.

--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -43,8 +43,9 @@
 	Service string
 	client  Client
 
+	born int64 // of the incarnation
+
 	mu          sync.Mutex
-	born        int64
 	connections int
 	outstanding []call
 	slowness    float64 // latency as a multiple of the expected one
@@ -210,20 +211,7 @@
 	}
 }
 
-// restart forgets what is known of an earlier incarnation.
-func (b *Backend) restart(born int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if born == b.born {
-		return
-	}
-	b.born = born
-	b.slowness, b.failures, b.inRow, b.moved, b.warmed = 1, 0, 0, false, false
-	b.ejectedTill = time.Time{}
-	b.client.DropIdle()
-}
-
-// Warm opens a connection ahead of the first request, once for each incarnation.
+// Warm opens a connection ahead of the first request, once.
 func (b *Backend) Warm(ctx context.Context) {
 	b.mu.Lock()
 	done := b.warmed
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -74,3 +74,22 @@
 		t.Fatalf("%d requests in 3 s, want 10 to 15", sent)
 	}
 }
+
+// TestReplicaThatMovesIsDialedAnew guards against a replica that starts again under
+// its ID at another address, and is asked at the old one.
+func TestReplicaThatMovesIsDialedAnew(t *testing.T) {
+	var dialed []string
+	p := NewPool(func(address string) Client {
+		dialed = append(dialed, address)
+		return &scripted{}
+	})
+	first := p.Backend(listed, 2)
+	again := listed
+	again.Born, again.Address = 2, "10.0.0.2:80"
+	if p.Backend(again, 2) == first || len(dialed) != 2 || dialed[1] != again.Address {
+		t.Errorf("dialed %v", dialed)
+	}
+	if p.Backend(listed, 2) == first || len(dialed) != 2 {
+		t.Error("an older report brought the earlier incarnation back")
+	}
+}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -24,25 +24,34 @@
 	return &Pool{dial: dial, Latencies: NewLatencies(), backends: map[string]*Backend{}}
 }
 
-// Backend returns the Backend of a replica. connections bounds the connections
-// of this daemon to it.
+// Backend returns the Backend of a replica; a later incarnation gets a new one.
+// connections bounds the connections of this daemon to it.
 func (p *Pool) Backend(r catalog.Replica, connections int) *Backend {
 	p.mu.RLock()
 	b := p.backends[r.ID]
 	p.mu.RUnlock()
-	if b == nil {
-		p.mu.Lock()
-		if b = p.backends[r.ID]; b == nil {
-			b = newBackend(r, p.dial(r.Address))
-			p.backends[r.ID] = b
-		}
-		p.mu.Unlock()
+	if b == nil || b.born < r.Born {
+		b = p.add(r)
 	}
-	b.restart(r.Born)
 	b.setConnections(connections)
 	return b
 }
 
+func (p *Pool) add(r catalog.Replica) *Backend {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.backends[r.ID]
+	if old != nil && old.born >= r.Born {
+		return old
+	}
+	if old != nil {
+		old.client.DropIdle()
+	}
+	b := newBackend(r, p.dial(r.Address))
+	p.backends[r.ID] = b
+	return b
+}
+
 // Number returns a number for the next exchange.
 func (p *Pool) Number() uint64 { return p.number.Add(1) }
 
