Explain requests from logs, count dropped lines, show the users' platform

Cause: log lines that did not fit the queue were lost without a trace, and successes pushed out failures. log.AsyncWriter reads an entry after it has handed it to its goroutine, which the race detector reports; the product's own interface wrote its log synchronously, so that a request could wait for a reader. An operator had to collect the lines of a request by hand, and `baobabsillctl` knew nothing of the users' platform. A retry was logged with the first candidate, not the replica that it went to.

Change: logs.Queue bounds volume and queue by level, never blocks, counts and reports what it drops; both commands use it. Requests that were not served whole and failed exchanges are warnings. A repeat that waits for the budget has a line; an answer names its replica. `baobabsillctl explain` and `edges`.

--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/daemon"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/release"
 	"github.com/baobabsill/baobabsill/internal/settings"
 	"github.com/baobabsill/baobabsill/platform"
@@ -68,15 +69,23 @@
 }
 
 func serve(s settings.Settings) int {
-	logger := &log.Logger{
-		Level:   log.ParseLevel(s.Log.Level),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
-		Context: log.NewContext(nil).Str("instance", s.Instance.Name).Value(),
-	}
-	d, err := daemon.New(logger, s)
+	lines := logs.NewQueue(os.Stderr)
+	defer closeLog(lines)
+	logger := newLogger(lines, s.Log.Level, s.Instance.Name)
+	d, err := daemon.New(logger, lines, s)
 	return runUntilSignal(logger, d, err)
 }
 
+func newLogger(lines *logs.Queue, level, instance string) *log.Logger {
+	return &log.Logger{Level: log.ParseLevel(level), Writer: lines, Context: log.NewContext(nil).Str("instance", instance).Value()}
+}
+
+func closeLog(lines *logs.Queue) {
+	if err := lines.Close(); err != nil {
+		fmt.Fprintf(os.Stderr, "baobabsill: %v\n", err)
+	}
+}
+
 // runner is an instance of either kind.
 type runner interface {
 	Run(stop, force context.Context) error
--- a/cmd/baobabsillctl/main.go
+++ b/cmd/baobabsillctl/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabsill/baobabsill/internal/ctl"
 	"github.com/baobabsill/baobabsill/internal/platform"
+	users "github.com/baobabsill/baobabsill/platform"
 )
 
 func main() {
@@ -23,8 +24,9 @@
 		NewPlatform: func(address string, timeout time.Duration) ctl.Platform {
 			return platform.NewClient(address, timeout)
 		},
-		HTTP:  &http.Client{},
-		Pause: 200 * time.Millisecond,
+		NewEdgeStore: func(address string) ctl.EdgeStore { return users.NewStore(address, nil) },
+		HTTP:         &http.Client{},
+		Pause:        200 * time.Millisecond,
 	}, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -60,6 +60,13 @@
 	rb := expectFlag(app.Command("rollback", "Make the content of an old version a new version."))
 	rb.Arg("version", "Version of the history.").Required().Int64Var(&version)
 
+	ex := app.Command("explain", "Tell the story of one request from the logs of instances.")
+	ex.Arg("id", "Identifier of the request.").Required().StringVar(&name)
+	files := ex.Arg("log", "Log of an instance; - is standard input.").Required().Strings()
+	ed := app.Command("edges", "Show what instances on the users' platform, and its store, hold.")
+	ed.Flag("instances", "Metrics addresses of the instances.").StringVar(&instances)
+	ed.Flag("store", "Address of the store, IP:port.").StringVar(&file)
+
 	var command string
 	err := errors.New("no command given")
 	// Without arguments, kingpin prints the help and reports success, which a
@@ -87,16 +94,17 @@
 	if command == "validate" {
 		return finish(validate(env, file))
 	}
+	if command == "explain" {
+		return finish(explain(env, name, *files))
+	}
+	if command == "edges" {
+		return finish(edgesOf(ctx, env, file, addressList(instances), *timeout))
+	}
 	var c *configs
 	if *address != "" {
 		c = &configs{platform: env.NewPlatform(*address, *timeout), pause: env.Pause}
 	}
-	var asked []string
-	for _, a := range strings.Split(instances, ",") {
-		if a = strings.TrimSpace(a); a != "" {
-			asked = append(asked, a)
-		}
-	}
+	asked := addressList(instances)
 	if c == nil && (command != "status" || asked == nil) {
 		return finish(Result{Outcome: BadInput, Message: "no platform address: set --platform or BAOBABSILL_PLATFORM"})
 	}
@@ -118,3 +126,14 @@
 	}
 	return finish(Result{Outcome: BadInput, Message: "unknown command " + command})
 }
+
+// addressList splits a list of addresses.
+func addressList(s string) []string {
+	var list []string
+	for _, a := range strings.Split(s, ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			list = append(list, a)
+		}
+	}
+	return list
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -28,6 +28,8 @@
 	ReadFile       func(path string) ([]byte, error)
 	// NewPlatform connects to the platform; timeout bounds each call.
 	NewPlatform func(address string, timeout time.Duration) Platform
+	// NewEdgeStore connects to the store of the users' platform.
+	NewEdgeStore func(address string) EdgeStore
 	// HTTP reads /status of instances.
 	HTTP *http.Client
 	// Pause is the wait before a lost or unavailable call is repeated.
@@ -85,6 +87,9 @@
 	Warnings []string       `json:"warnings,omitempty"`
 	History  []HistoryEntry `json:"history,omitempty"`
 	Status   *StatusReport  `json:"status,omitempty"`
+	// Explanation is set by the command explain, Edges by the command edges.
+	Explanation *Explanation `json:"explanation,omitempty"`
+	Edges       *EdgesReport `json:"edges,omitempty"`
 }
 
 // platformFailure turns an error of a call that changed nothing into a result.
--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -47,6 +47,12 @@
 	if r.Status != nil {
 		renderStatus(r.Status, out)
 	}
+	if r.Explanation != nil {
+		renderExplanation(r.Explanation, out)
+	}
+	if r.Edges != nil {
+		renderEdges(r.Edges, out)
+	}
 }
 
 func table(w io.Writer, rows [][]string) {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -141,8 +141,8 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			d, err := fetchStatus(ctx, client, i.Address, timeout)
-			if err != nil {
+			var d status.Document
+			if err := fetchStatus(ctx, client, i.Address, timeout, &d); err != nil {
 				i.Error = err.Error()
 				return
 			}
@@ -152,24 +152,23 @@
 	wg.Wait()
 }
 
-func fetchStatus(ctx context.Context, client *http.Client, address string, timeout time.Duration) (status.Document, error) {
-	var d status.Document
+// fetchStatus decodes the status document of an instance into d.
+func fetchStatus(ctx context.Context, client *http.Client, address string, timeout time.Duration, d any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
 	if err != nil {
-		return d, err
+		return err
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return d, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return d, fmt.Errorf("status %d", resp.StatusCode)
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&d)
-	return d, err
+	return json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(d)
 }
 
 // targets returns each target once, preferably as its holder reports it.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/baobabsill/baobabsill/internal/dispatch"
 	"github.com/baobabsill/baobabsill/internal/gateway"
 	"github.com/baobabsill/baobabsill/internal/lifecycle"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/once"
 	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/placement"
@@ -53,12 +54,14 @@
 	peers      *peer.Server
 	api        *api.Server
 	metrics    io.Closer
+	// countLines counts the log lines that were dropped.
+	countLines func(context.Context) error
 	// ready is set once the balancer may send callers here.
 	ready atomic.Bool
 }
 
-// New wires an instance. It opens no socket.
-func New(logger *log.Logger, s settings.Settings) (*Daemon, error) {
+// New wires an instance, whose log goes to lines. It opens no socket.
+func New(logger *log.Logger, lines *logs.Queue, s settings.Settings) (*Daemon, error) {
 	source, err := hostIP(s.Instance.PeerListen)
 	if err != nil {
 		return nil, err
@@ -74,6 +77,7 @@
 	d.conns = peer.NewConns(logger, source)
 	scope, metricsHandler, closer := api.NewMetrics(logger)
 	d.metrics = closer
+	d.countLines = func(ctx context.Context) error { return lines.Run(ctx, logger, scope) }
 
 	d.pool = target.NewPool(logger, scope, target.Options{LocalIP: source})
 	d.rights = placement.NewRights(d.self.Name, d.self.Zone, d.store)
@@ -120,7 +124,7 @@
 
 	parts := []func(context.Context) error{
 		d.peers.Run, d.api.Run, d.sync.Run, d.targets.Run, d.membership.Run,
-		d.placement.Run, d.dispatcher.Run, d.janitor.Run, d.becomeReady,
+		d.placement.Run, d.dispatcher.Run, d.janitor.Run, d.becomeReady, d.countLines,
 	}
 	err := lifecycle.Run(stop, force, parts, d.shutdown)
 	return errs.Combine(err, d.close())
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -19,9 +19,11 @@
 	"github.com/baobabsill/baobabsill/internal/forward"
 	"github.com/baobabsill/baobabsill/internal/ingress"
 	"github.com/baobabsill/baobabsill/internal/lifecycle"
+	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/replica"
 	"github.com/baobabsill/baobabsill/internal/settings"
+	"github.com/baobabsill/baobabsill/internal/status"
 	"github.com/baobabsill/baobabsill/platform"
 )
 
@@ -51,9 +53,9 @@
 	runners   []func(context.Context) error
 }
 
-// New wires an instance and opens its listeners. path is the file of the
+// New wires an instance, whose log goes to lines, and opens its listeners. path is the file of the
 // settings, which is read again after each signal on hup.
-func New(logger *log.Logger, s settings.Edge, path string, hup <-chan os.Signal) (*Daemon, error) {
+func New(logger *log.Logger, lines *logs.Queue, s settings.Edge, path string, hup <-chan os.Signal) (*Daemon, error) {
 	host, _, err := net.SplitHostPort(s.CallerListen)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -82,7 +84,8 @@
 	if err := d.peers.Listen(); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.upkeep, d.watchSettings)
+	d.runners = append(d.runners, d.server.Run, d.ready.Run, d.operators.Run, d.upkeep, d.watchSettings,
+		func(ctx context.Context) error { return lines.Run(ctx, logger, scope) })
 	return d, nil
 }
 
@@ -187,22 +190,9 @@
 	}
 }
 
-// Document is the state that an operator sees.
-type Document struct {
-	Instance      string           `json:"instance"`
-	Zone          string           `json:"zone"`
-	Ready         bool             `json:"ready"`
-	ConfigVersion int64            `json:"config_version"`
-	StoreLost     bool             `json:"store_lost"`
-	Evacuated     []string         `json:"evacuated"`
-	Daemons       []string         `json:"daemons"`
-	InFlight      int64            `json:"in_flight"`
-	Replicas      []replica.Report `json:"replicas"`
-}
-
 func (d *Daemon) status() any {
 	snap := d.catalog.Load()
-	doc := Document{
+	doc := status.Edge{
 		Instance: d.settings.Load().Name, Zone: d.settings.Load().Zone, Ready: d.isReady(), StoreLost: d.link.Lost(),
 		Evacuated: snap.Evacuated(), Daemons: snap.Daemons, InFlight: d.forwarder.InFlight(), Replicas: d.pool.Reports(time.Now()),
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -78,7 +78,7 @@
 	if len(faults) > 0 {
 		d.t.Fatal(faults)
 	}
-	daemon, err := New(logs.OrDiscard(nil), s, d.path, d.hup)
+	daemon, err := New(logs.OrDiscard(nil), logs.NewQueue(io.Discard), s, d.path, d.hup)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -67,9 +67,9 @@
 	if !r.route.IsScatter() {
 		switch sh := &r.shards[0]; {
 		case sh.reply != nil:
-			return Answer{Code: Forwarded, Reply: *sh.reply}
+			return Answer{Code: Forwarded, Reply: *sh.reply, Replica: sh.by}
 		case sh.failure != nil && sh.live == 0:
-			return Answer{Code: Forwarded, Reason: "replica failed", Reply: *sh.failure}
+			return Answer{Code: Forwarded, Reason: "replica failed", Reply: *sh.failure, Replica: sh.by}
 		}
 	}
 	ran, reason := false, "too few shards"
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
@@ -65,9 +67,19 @@
 	m.exchanges.RecordDuration(took)
 }
 
+// endLevel returns the level of the line of an answer. When lines are dropped,
+// those below warnings go first.
+func endLevel(a Answer) log.Level {
+	served := a.Code == Forwarded && a.Reply.Status < http.StatusInternalServerError || a.Code == Merged && a.Missing == 0
+	if served || a.Code == Abandoned {
+		return log.InfoLevel
+	}
+	return log.WarnLevel
+}
+
 // logEnd logs the end of a request with what decided it.
 func (f *Forwarder) logEnd(req *Request, route *catalog.Route, snap *catalog.Snapshot, a Answer, took time.Duration) {
-	e := f.logger.Info().Str("event", "request").Str("request_id", req.AttemptID).Str("outcome", string(a.Code)).
+	e := f.logger.WithLevel(endLevel(a)).Str("event", "request").Str("request_id", req.AttemptID).Str("outcome", string(a.Code)).
 		Dur("took", took).Dur("patience", req.Patience)
 	if route != nil {
 		e = e.Str("route", route.Name)
@@ -85,14 +97,14 @@
 		e = e.Int("parts", len(a.Signatures)).Int("missing", a.Missing)
 	}
 	if a.Code == Forwarded {
-		e = e.Int("status", a.Reply.Status)
+		e = e.Str("replica", a.Replica).Int("status", a.Reply.Status)
 	}
 	e.Msg("request ended")
 }
 
 // logExchange logs an exchange that did not serve its shard.
 func (r *run) logExchange(sh *shard, e event) {
-	l := r.f.logger.Info().Str("event", "exchange").Str("request_id", r.req.AttemptID).Str("service", sh.service).
+	l := r.f.logger.Warn().Str("event", "exchange").Str("request_id", r.req.AttemptID).Str("service", sh.service).
 		Str("replica", e.id).Str("outcome", e.result.Kind.String()).Str("reason", e.result.Reason).Dur("took", e.took)
 	if e.result.Kind == replica.Complete {
 		l = l.Int("status", e.result.Reply.Status)
@@ -106,3 +118,10 @@
 		Str("replica", c.replica.ID).Dur("age", now.Sub(r.start)).Dur("expected", c.expected).Dur("cost", c.cost).
 		Str("reason", sh.reason).Msg("sent once more")
 }
+
+// logNoBudget logs the first time that a repeat for a shard has to wait for the
+// budget.
+func (r *run) logNoBudget(sh *shard) {
+	r.f.logger.Info().Str("event", "no budget").Str("request_id", r.req.AttemptID).Str("service", sh.service).
+		Dur("age", time.Since(r.start)).Int("sends", sh.sends).Str("reason", sh.reason).Msg("repeat waits for the budget")
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -56,8 +56,9 @@
 	Reason string
 	// RetryAfter is when a refused request may be sent again.
 	RetryAfter time.Duration
-	// Reply is set with Forwarded.
-	Reply replica.Reply
+	// Reply is set with Forwarded, Replica is the ID of the replica that sent it.
+	Reply   replica.Reply
+	Replica string
 	// Signatures, Missing and Records are set with Merged: the signatures of the
 	// parts, the number of shards left out, and the greatest records.
 	Signatures []string
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -44,11 +44,15 @@
 	// failure is the last whole answer that was not a success.
 	failure *replica.Reply
 	// closed is set when no more exchange will be started.
-	closed  bool
-	reason  string
-	hedgeAt time.Time // zero for none
-	retryAt time.Time // zero for none
-	last    *replica.Backend
+	closed bool
+	reason string
+	// by is the replica whose answer is taken.
+	by string
+	// noBudget is set once a repeat had to wait for the budget.
+	noBudget bool
+	hedgeAt  time.Time // zero for none
+	retryAt  time.Time // zero for none
+	last     *replica.Backend
 }
 
 // event is the end of an exchange.
@@ -222,12 +226,12 @@
 		reply := res.Reply
 		if reply.Succeeded() {
 			if sh.reply == nil {
-				sh.reply = &reply
+				sh.reply, sh.by = &reply, e.id
 			}
 			sh.closed = true
 			return
 		}
-		sh.failure = &reply
+		sh.failure, sh.by = &reply, e.id
 	}
 	if sh.closed {
 		return
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -25,7 +25,7 @@
 // sendToFirst sends to the first candidate that has room. Without one, the
 // shard waits. A replica that failed of late is tried only if there is no other,
 // not if the others are busy.
-func (r *run) sendToFirst(i int, list []candidate, now time.Time) bool {
+func (r *run) sendToFirst(i int, list []candidate, now time.Time) (to candidate, sent bool) {
 	sh := &r.shards[i]
 	for n, c := range list {
 		if c.ejected && !list[0].ejected {
@@ -38,10 +38,10 @@
 		}
 		r.send(i, c, permit, now)
 		r.planHedge(sh, c, list, n, now)
-		return true
+		return c, true
 	}
 	sh.retryAt = now.Add(busyWait)
-	return false
+	return candidate{}, false
 }
 
 func (r *run) acquire(c candidate, now time.Time) (*replica.Permit, string) {
@@ -192,9 +192,9 @@
 		sh.retryAt = now.Add(budgetWait)
 		return
 	}
-	if r.sendToFirst(i, list, now) {
+	if c, sent := r.sendToFirst(i, list, now); sent {
 		r.f.metrics.retries.Inc(1)
-		r.logSend("retry", sh, list[0], now)
+		r.logSend("retry", sh, c, now)
 	} else if sh.sends > 0 {
 		r.f.budget.Return(sh.service)
 	}
@@ -209,5 +209,9 @@
 		return true
 	}
 	r.f.metrics.budgetEmpty.Inc(1)
+	if !sh.noBudget {
+		sh.noBudget = true
+		r.logNoBudget(sh)
+	}
 	return false
 }
--- /dev/null
+++ b/internal/status/edge.go
@@ -0,0 +1,16 @@
+package status
+
+import "github.com/baobabsill/baobabsill/internal/replica"
+
+// Edge is the view of one instance on the users' platform.
+type Edge struct {
+	Instance      string           `json:"instance"`
+	Zone          string           `json:"zone"`
+	Ready         bool             `json:"ready"`
+	ConfigVersion int64            `json:"config_version"`
+	StoreLost     bool             `json:"store_lost"`
+	Evacuated     []string         `json:"evacuated"`
+	Daemons       []string         `json:"daemons"`
+	InFlight      int64            `json:"in_flight"`
+	Replicas      []replica.Report `json:"replicas"`
+}
