--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -21,7 +21,7 @@
 
 // deployment is an instance over stand-ins of the users' platform.
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	store    *platformtest.Store
 	replicas []*platformtest.Replica
 	settings settings.Edge
@@ -57,11 +57,17 @@
 	}
 }
 
-func deploy(t *testing.T) *deployment {
+// newDeployment returns a deployment without replicas that is not started.
+func newDeployment(t testing.TB) *deployment {
 	d := &deployment{t: t, store: platformtest.NewStore(t), path: filepath.Join(t.TempDir(), "settings.ini"), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.settings.PeerListen =
 		platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t)
 	d.writeSettings(100)
+	return d
+}
+
+func deploy(t *testing.T) *deployment {
+	d := newDeployment(t)
 	for i, service := range []string{"s", "t"} {
 		r := platformtest.NewReplica(t, service+"-1", service, "near", strings.Repeat(string(rune('a'+i)), 16)+strings.Repeat("0", 16)+"rest")
 		d.replicas = append(d.replicas, r)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -38,6 +38,7 @@
 	backend *replica.Backend
 	// expected is the usual latency, deviation its mean deviation.
 	expected, deviation time.Duration
+	coldLimit           int
 	// cost is the expected latency with what is known of the replica; queued is
 	// that without the cost of failures and stalls.
 	cost, queued time.Duration
@@ -51,20 +52,20 @@
 
 // candidates returns the replicas of a service that may get a request, the best
 // one first.
-func (f *Forwarder) candidates(snap *catalog.Snapshot, route *catalog.Route, service string, now time.Time) []candidate {
-	var list []candidate
-	for _, r := range snap.Replicas(service) {
-		if !usable(snap, f.place(), route, r) || !f.shares().admits(snap, r) {
-			continue
-		}
-		c := candidate{replica: r, backend: f.pool.Backend(r, f.shares().connections(snap, r))}
-		if c.backend.Moved() {
+func (f *Forwarder) candidates(route *catalog.Route, service string, now time.Time) []candidate {
+	v := f.current()
+	sendable := v.services[service]
+	list := make([]candidate, 0, len(sendable))
+	for _, s := range sendable {
+		r := s.replica
+		if !route.AllowsRegion(v.options.Place.Regions[r.Zone]) || s.backend.Moved() {
 			continue
 		}
+		c := candidate{replica: r, backend: s.backend, coldLimit: s.coldLimit}
 		class := replica.LatencyClass{Route: route.Name, Zone: r.Zone}
 		var ok bool
 		if c.expected, c.deviation, ok = f.pool.Latencies.Usual(class); !ok {
-			c.expected = time.Duration(priorLatency[f.place().distance(r.Zone)] * float64(route.Objective))
+			c.expected = time.Duration(priorLatency[s.distance] * float64(route.Objective))
 			c.deviation = c.expected / 2
 		}
 		cost, queued := c.backend.Cost(now)
@@ -85,15 +86,9 @@
 // first requests after a start, or after a change of shards, need not wait for
 // them.
 func (f *Forwarder) Prepare() {
-	snap := f.store.Load()
-	if snap.Config == nil {
-		return
-	}
-	for name := range snap.Config.Services {
-		for _, r := range snap.Replicas(name) {
-			if !r.Draining && !snap.IsEvacuated(r.Zone) && f.shares().admits(snap, r) {
-				f.pool.Backend(r, f.shares().connections(snap, r)).Warm()
-			}
+	for _, list := range f.current().services {
+		for _, s := range list {
+			s.backend.Warm()
 		}
 	}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -346,7 +346,7 @@
 			open, idle, cold := 0, 0, 0
 			for self := range names {
 				s := Shares{Self: self, ColdOverage: 1.5, ColdSlack: 5}
-				if s.admits(snap, r) {
+				if s.admits(snap, newRanking(self, snap.Daemons), r) {
 					bounds := s.connections(snap, r)
 					open += bounds.Open
 					idle += bounds.Idle
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -30,6 +30,7 @@
 	options atomic.Pointer[Options]
 	budget  *Budget
 	metrics *metrics
+	view    atomic.Pointer[view]
 
 	inFlight atomic.Int64
 	splits   atomic.Uint64
@@ -49,8 +50,7 @@
 	f.budget.SetBounds(o.RetryRatio, o.RetrySlack)
 }
 
-func (f *Forwarder) place() Place   { return f.options.Load().Place }
-func (f *Forwarder) shares() Shares { return f.options.Load().Shares }
+func (f *Forwarder) place() Place { return f.options.Load().Place }
 
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -28,15 +28,16 @@
 		if sh.closed {
 			continue
 		}
+		list := r.f.candidates(r.route, sh.service, now)
 		if r.route.IsScatter() {
-			if cost, over := r.overload(sh, now); over {
+			if cost, over := r.overload(list, now); over {
 				late = append(late, overloaded{i, cost.Seconds() * (1 + choiceSpread*rand.Float64())})
 				sh.closed, sh.reason = true, "overloaded"
 				continue
 			}
 		}
 		sure++
-		r.first(i)
+		r.first(i, list, now)
 	}
 	slices.SortFunc(late, func(a, b overloaded) int { return cmp.Compare(a.cost, b.cost) })
 	for _, o := range late {
@@ -46,10 +47,9 @@
 	}
 }
 
-// overload returns the expected latency of a shard, and whether it would be late
+// overload returns the expected latency of a shard with some candidates, and whether it would be late
 // at each of its replicas. Failures and stalls don't count: they are over soon.
-func (r *run) overload(sh *shard, now time.Time) (latency time.Duration, over bool) {
-	list := r.f.candidates(r.f.store.Load(), r.route, sh.service, now)
+func (r *run) overload(list []candidate, now time.Time) (latency time.Duration, over bool) {
 	if len(list) == 0 {
 		return 0, false // closed by its first exchange
 	}
@@ -65,8 +65,8 @@
 	}
 	i := r.spare[0]
 	r.spare = r.spare[1:]
-	sh := &r.shards[i]
-	sh.closed = false
-	r.first(i)
+	r.shards[i].closed = false
+	now := time.Now()
+	r.first(i, r.f.candidates(r.route, r.shards[i].service, now), now)
 	return true
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -197,7 +197,7 @@
 		if !sh.retryAt.IsZero() && !sh.retryAt.After(now) {
 			sh.retryAt = time.Time{}
 			if !sh.started {
-				r.first(i)
+				r.first(i, r.f.candidates(r.route, sh.service, now), now)
 			} else {
 				r.retry(i)
 			}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -7,14 +7,9 @@
 	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
-// first starts the first exchange of a shard.
-func (r *run) first(i int) {
+// first starts the first exchange of a shard with one of its candidates.
+func (r *run) first(i int, list []candidate, now time.Time) {
 	sh := &r.shards[i]
-	if sh.closed {
-		return
-	}
-	now := time.Now()
-	list := r.f.candidates(r.f.store.Load(), r.route, sh.service, now)
 	if len(list) == 0 {
 		sh.closed, sh.reason = true, "no replica"
 		return
@@ -45,8 +40,7 @@
 }
 
 func (r *run) acquire(c candidate, now time.Time) (*replica.Permit, string) {
-	snap := r.f.store.Load()
-	return c.backend.Acquire(now, r.f.pool.Number(), c.replica.ColdUntil, r.f.shares().coldLimit(snap, c.replica), c.expected)
+	return c.backend.Acquire(now, r.f.pool.Number(), c.replica.ColdUntil, c.coldLimit, c.expected)
 }
 
 // send starts one exchange.
@@ -130,7 +124,7 @@
 func (r *run) again(i int, failed string) {
 	sh := &r.shards[i]
 	now := time.Now()
-	list := r.allowed(sh, r.f.candidates(r.f.store.Load(), r.route, sh.service, now))
+	list := r.allowed(sh, r.f.candidates(r.route, sh.service, now))
 	if len(list) > 0 && (list[0].ejected || list[0].replica.ID == failed) {
 		sh.retryAt = now.Add(rejectWait)
 		return
@@ -144,7 +138,7 @@
 	if sh.live == 0 || sh.sends >= maxSends {
 		return
 	}
-	list := r.allowed(sh, r.f.candidates(r.f.store.Load(), r.route, sh.service, now))
+	list := r.allowed(sh, r.f.candidates(r.route, sh.service, now))
 	list = slices.DeleteFunc(list, func(c candidate) bool {
 		// Another exchange with the same replica helps only if the connection is
 		// at fault, which shows after several times the usual latency.
@@ -183,7 +177,7 @@
 		sh.closed = true
 		return
 	}
-	list := r.allowed(sh, r.f.candidates(r.f.store.Load(), r.route, sh.service, now))
+	list := r.allowed(sh, r.f.candidates(r.route, sh.service, now))
 	if len(list) == 0 {
 		sh.closed = true
 		return
--- a/internal/forward/shares.go
+++ b/internal/forward/shares.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabsill/baobabsill/internal/catalog"
 	"github.com/baobabsill/baobabsill/internal/replica"
 )
@@ -59,18 +57,9 @@
 // admits reports whether this daemon sends to a replica. With more daemons than
 // connections, each replica is used by the daemons that rank first for it in
 // rendezvous order.
-func (s Shares) admits(snap *catalog.Snapshot, r catalog.Replica) bool {
+func (s Shares) admits(snap *catalog.Snapshot, ranks ranking, r catalog.Replica) bool {
 	bound := s.bound(snap, r)
-	if len(snap.Daemons) <= bound {
-		return true
-	}
-	own, before := xxhash.Sum64String(r.ID+"/"+s.Self), 0
-	for _, d := range snap.Daemons {
-		if xxhash.Sum64String(r.ID+"/"+d) < own {
-			before++
-		}
-	}
-	return before < bound
+	return len(snap.Daemons) <= bound || ranks.before(r.ID) < bound
 }
 
 // coldLimit returns the requests that this daemon may send to a cold replica in
