Let one instance of each zone read from the store for the others

Change: the first instance of each zone by name reads; the others ask it each 500 ms for what changed, and that of another zone if it does not answer. An answer says how long ago the store answered, and stands for the store's up to half of the contact time; then the instance reads for itself. It has to include each change that the instance knows, and tells when the store returned, so that lapsed replicas are held everywhere. A watch that ends after a later state was taken over no longer brings back an older one.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -20,8 +20,8 @@
 	// Daemons are the names of the daemons that share the replicas; nil until
 	// their list was read.
 	Daemons []string
-	// Addresses maps daemons to their addresses for other instances, IP:port.
-	Addresses map[string]string
+	// Registered are the daemons by name.
+	Registered map[string]Daemon
 	// PeakDaemons is the largest number of daemons that were listed at once. An
 	// instance that stops for a restart is back within seconds.
 	PeakDaemons int
@@ -133,11 +133,18 @@
 	})
 }
 
-// SetDaemons replaces the list of daemons and their addresses.
-func (s *Store) SetDaemons(addresses map[string]string) {
+// Daemon is one instance as it has registered.
+type Daemon struct {
+	// Address is that for other instances, IP:port.
+	Address string
+	Zone    string
+}
+
+// SetDaemons replaces the list of daemons.
+func (s *Store) SetDaemons(daemons map[string]Daemon) {
 	s.update(func(next *Snapshot) {
-		next.Addresses = maps.Clone(addresses)
-		next.Daemons = slices.Sorted(maps.Keys(addresses))
-		next.PeakDaemons = max(next.PeakDaemons, len(addresses))
+		next.Registered = maps.Clone(daemons)
+		next.Daemons = slices.Sorted(maps.Keys(daemons))
+		next.PeakDaemons = max(next.PeakDaemons, len(daemons))
 	})
 }
--- a/internal/ctl/edges.go
+++ b/internal/ctl/edges.go
@@ -22,7 +22,7 @@
 	Config() follow.Source[*catalog.Config]
 	Replicas() follow.Source[catalog.Replica]
 	Evacuations() follow.Source[struct{}]
-	Daemons() follow.Source[string]
+	Daemons() follow.Source[catalog.Daemon]
 }
 
 // EdgesReport is what the store of the users' platform and the instances hold.
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -94,9 +94,13 @@
 	// zone count as cold after its evacuation: their next reports tell.
 	returnHeartbeats = 2
 	// watchShare is the part of the contact time that the watch of the
-	// configuration waits, so that a silent store is noticed, and all kinds are
-	// read again, within the contact time.
-	watchShare = 0.5
+	// configuration waits. Its answers show that the store can be reached.
+	watchShare = 0.2
+	// relayShare is the part of the contact time up to which the answers of
+	// another instance stand for the store's: longer than the watch waits and two
+	// questions take, and short enough to read from the store within the contact
+	// time otherwise.
+	relayShare = 0.5
 	// longWait is the wait of the other watches, which end when the link is lost.
 	// It is below the longest wait that the store takes, 30 s.
 	longWait = 25 * time.Second
@@ -123,12 +127,13 @@
 		follow.NewDaemonSink(d.logger, d.catalog, s.Name), longWait, daemonGather)
 	d.conns = peer.NewConns(d.logger, source)
 	relay := follow.NewRelay(d.logger, d.link,
-		&peers{self: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.conns},
+		&peers{name: s.Name, zone: s.Zone, address: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.conns},
+		time.Duration(relayShare*float64(s.Contact)),
 		config, replicas, evacuations, daemons)
 	d.peers = peer.NewServer(d.logger, s.PeerListen, peerService{relay})
 	d.runners = append(d.runners, sink.Run, config.Run, replicas.Run, evacuations.Run, relay.Run, d.peers.Run,
 		func(ctx context.Context) error {
-			follow.Register(ctx, d.logger, d.link, d.store, s.Name, s.PeerListen)
+			follow.Register(ctx, d.logger, d.link, d.store, s.Name, catalog.Daemon{Address: s.PeerListen, Zone: s.Zone})
 			return daemons.Run(ctx)
 		},
 	)
--- a/internal/follow/daemons.go
+++ b/internal/follow/daemons.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -13,10 +12,9 @@
 
 // Registry holds one object a daemon.
 type Registry interface {
-	// Register creates the object of a daemon with its address for other
-	// instances. created is false if an earlier
+	// Register creates the object of a daemon. created is false if an earlier
 	// process left it.
-	Register(ctx context.Context, name, address string) (created bool, err error)
+	Register(ctx context.Context, name string, d catalog.Daemon) (created bool, err error)
 	// Deregister removes the object of a daemon; it may be missing.
 	Deregister(ctx context.Context, name string) error
 }
@@ -26,53 +24,52 @@
 	logger *log.Logger
 	store  *catalog.Store
 	self   string
-	names  map[string]string // to addresses
+	listed map[string]catalog.Daemon // by name
 }
 
 // NewDaemonSink returns a DaemonSink of the daemon self, which always counts.
 func NewDaemonSink(logger *log.Logger, store *catalog.Store, self string) *DaemonSink {
-	return &DaemonSink{logger: logger, store: store, self: self, names: map[string]string{}}
+	return &DaemonSink{logger: logger, store: store, self: self, listed: map[string]catalog.Daemon{}}
 }
 
 // Replace implements Sink.
-func (s *DaemonSink) Replace(items []Item[string]) {
-	clear(s.names)
+func (s *DaemonSink) Replace(items []Item[catalog.Daemon]) {
+	clear(s.listed)
 	for _, item := range items {
-		s.names[item.Name] = item.Value
+		s.listed[item.Name] = item.Value
 	}
 	s.publish()
 }
 
 // Apply implements Sink.
-func (s *DaemonSink) Apply(changes []Change[string]) {
+func (s *DaemonSink) Apply(changes []Change[catalog.Daemon]) {
 	for _, c := range changes {
 		if c.Deleted {
-			delete(s.names, c.Name)
+			delete(s.listed, c.Name)
 		} else {
-			s.names[c.Name] = c.Value
+			s.listed[c.Name] = c.Value
 		}
 	}
 	s.publish()
 }
 
 func (s *DaemonSink) publish() {
-	if _, listed := s.names[s.self]; !listed {
-		s.names[s.self] = ""
+	if _, listed := s.listed[s.self]; !listed {
+		s.listed[s.self] = catalog.Daemon{}
 	}
-	names := slices.Sorted(maps.Keys(s.names))
-	if slices.Equal(names, s.store.Load().Daemons) {
+	if maps.Equal(s.listed, s.store.Load().Registered) {
 		return
 	}
-	s.store.SetDaemons(s.names)
-	s.logger.Info().Str("event", "daemons").Int("daemons", len(names)).Msg("list of daemons changed")
+	s.store.SetDaemons(s.listed)
+	s.logger.Info().Str("event", "daemons").Int("daemons", len(s.listed)).Msg("list of daemons changed")
 }
 
 // Register writes the object of this daemon until the store has taken it.
-func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name, address string) {
+func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name string, d catalog.Daemon) {
 	for ctx.Err() == nil {
 		var created bool
 		err := link.call(ctx, "daemons", func(ctx context.Context) (err error) {
-			created, err = registry.Register(ctx, name, address)
+			created, err = registry.Register(ctx, name, d)
 			return err
 		})
 		if err == nil {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -99,9 +99,21 @@
 	f.replace(items, l.Revision)
 }
 
-func (f *Follower[T]) apply(changes []Change[T], revision int64) {
+// MoveOn implements Relayed.
+func (f *Follower[T]) MoveOn(revision int64) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	f.advance(nil, nil, revision)
+}
+
+// apply takes the changes after since. They are left to the next watch if
+// another instance has given a later state meanwhile.
+func (f *Follower[T]) apply(since int64, changes []Change[T], revision int64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if f.Revision() != since {
+		return
+	}
 	var changed []RawObject
 	var deleted []string
 	for _, c := range changes {
@@ -133,7 +145,7 @@
 		case err != nil:
 			continue
 		}
-		f.apply(changes, next)
+		f.apply(revision, changes, next)
 		if len(changes) > 0 {
 			sleep(ctx, f.gather)
 		}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -20,6 +20,7 @@
 	changes  []Change[struct{}]
 	deaf     bool
 	away     bool
+	silent   bool // calls get no answer
 	calls    int
 }
 
@@ -51,8 +52,12 @@
 func (s *fakeStore) Watch(ctx context.Context, since int64, wait time.Duration) ([]Change[struct{}], int64, error) {
 	s.mu.Lock()
 	s.calls++
-	deaf, away := s.deaf, s.away
+	deaf, away, silent := s.deaf, s.away, s.silent
 	s.mu.Unlock()
+	if silent && !sleep(ctx, wait+time.Second) {
+		return nil, since, ctx.Err()
+	}
+	away = away || silent
 	if away {
 		return nil, since, errAway
 	}
@@ -192,46 +197,6 @@
 	})
 }
 
-// relayTo asks a relay directly.
-type relayTo struct{ relay *Relay }
-
-func (p relayTo) Fetch(_ context.Context, have map[string]int64) (map[string]Listing, error) {
-	return p.relay.Answer(have), nil
-}
-
-// TestRelayServesInstancesThatTheStoreTurnsAway guards against an instance that
-// keeps to an old state while others know better.
-func TestRelayServesInstancesThatTheStoreTurnsAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		logger := logs.OrDiscard(nil)
-		store, cutOff := &fakeStore{revision: 1}, &fakeStore{revision: 1}
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		served := NewFollower(logger, "things", NewLink(logger), store, &recordingSink{}, time.Second, 0)
-		sink, link := &replacingSink{}, NewLink(logger)
-		turnedAway := NewFollower(logger, "things", link, cutOff, sink, time.Second, 0)
-		relay := NewRelay(logger, link, relayTo{NewRelay(logger, link, nil, served)}, turnedAway)
-		go served.Run(ctx)     //nolint:errcheck // ends with ctx
-		go turnedAway.Run(ctx) //nolint:errcheck // ends with ctx
-		go relay.Run(ctx)      //nolint:errcheck // ends with ctx
-		time.Sleep(time.Second)
-		cutOff.set(func() { cutOff.away = true })
-		store.add("a")
-		store.add("b")
-		time.Sleep(4 * time.Second)
-		if sink.listed() != 2 || turnedAway.Revision() != 3 {
-			t.Errorf("%d objects at revision %d, want 2 at 3", sink.listed(), turnedAway.Revision())
-		}
-		cutOff.set(func() { cutOff.away, cutOff.revision = false, 3 })
-		time.Sleep(3 * time.Second)
-		if link.Lost() {
-			t.Error("the store is back, and the instance still asks others")
-		}
-		cancel()
-		synctest.Wait()
-	})
-}
-
 // replacingSink counts the objects of the last list.
 type replacingSink struct {
 	recordingSink
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -40,6 +40,10 @@
 	changed  chan struct{} // closed when lost changes
 	revision int64         // the latest that any answer named
 	advanced chan struct{} // closed when revision grows
+	// confirmedAt is when the store last answered, or another instance that had
+	// its answer; restUntil is how long the latter lets the store alone.
+	confirmedAt time.Time
+	restUntil   time.Time
 }
 
 // NewLink returns a Link that counts as connected.
@@ -107,6 +111,61 @@
 	}
 }
 
+// noteBack records that the store returned after an outage, as another instance
+// has seen it.
+func (l *Link) noteBack(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.After(l.backAt) {
+		l.backAt = at
+	}
+}
+
+// rest lets the store alone until a time, because another instance has its
+// answers up to confirmed.
+func (l *Link) rest(confirmed, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if confirmed.After(l.confirmedAt) {
+		l.confirmedAt = confirmed
+	}
+	l.restUntil = until
+}
+
+// unknownAge is the age of what was never confirmed.
+const unknownAge = time.Hour
+
+// ages returns the time since the store last answered, and since it returned
+// after an outage; 0 if there was none.
+func (l *Link) ages() (confirmed, back time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	confirmed = unknownAge
+	if !l.confirmedAt.IsZero() {
+		confirmed = now.Sub(l.confirmedAt)
+	}
+	if !l.backAt.IsZero() {
+		back = now.Sub(l.backAt)
+	}
+	return confirmed, back
+}
+
+// awake waits while the store is let alone.
+func (l *Link) awake(ctx context.Context) error {
+	for {
+		l.mu.Lock()
+		left := time.Until(l.restUntil)
+		l.mu.Unlock()
+		if left <= 0 {
+			return nil
+		}
+		if !sleep(ctx, left) {
+			return ctx.Err()
+		}
+	}
+}
+
 func (l *Link) state() (lost bool, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -127,7 +186,7 @@
 		}
 		return
 	}
-	l.failures = 0
+	l.failures, l.confirmedAt = 0, now
 	if l.lost {
 		l.lost, l.backAt = false, now
 		l.flip()
@@ -150,10 +209,13 @@
 	return d/2 + rand.N(d/2)
 }
 
-// call runs f when the link is up, or when it is this follower's turn to try
+// call runs f when no other instance reads for this one, and when the link is up, or when it is this follower's turn to try
 // the lost link. A call that waits is given up when another one finds the link
 // lost, because a silent store would hold it for its whole wait.
 func (l *Link) call(ctx context.Context, kind string, f func(ctx context.Context) error) error {
+	if err := l.awake(ctx); err != nil {
+		return err
+	}
 	lost, changed := l.state()
 	if !lost {
 		callCtx, cancel := context.WithCancel(ctx)
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -18,6 +18,8 @@
 type mirror struct {
 	mu       sync.Mutex
 	revision int64 // up to which all changes are in
+	changed  int64 // at or before which an object last changed
+	seen     int64 // of the latest change that is known to be in
 	objects  map[string]RawObject
 }
 
@@ -36,9 +38,10 @@
 	if revision < m.revision {
 		return false
 	}
-	m.revision, m.objects = revision, make(map[string]RawObject, len(objects))
+	m.revision, m.changed, m.objects = revision, revision, make(map[string]RawObject, len(objects))
 	for _, o := range objects {
 		m.objects[o.Name] = o
+		m.seen = max(m.seen, o.Revision)
 	}
 	return true
 }
@@ -48,6 +51,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision = max(m.revision, revision)
+	if len(changed)+len(deleted) > 0 {
+		m.changed, m.seen = m.revision, m.revision
+	}
 	for _, o := range changed {
 		m.objects[o.Name] = o
 	}
@@ -56,15 +62,24 @@
 	}
 }
 
-// Held returns all objects and their revision, and false if it is not later than
-// since.
-func (m *mirror) Held(since int64) (Listing, bool) {
+// Seen returns the revision of the latest change that is known to be in. The
+// state at an earlier revision is incomplete.
+func (m *mirror) Seen() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen
+}
+
+// Held returns the revision that is held, 0 if the kind was never read, and all
+// objects if one may have changed since a revision.
+func (m *mirror) Held(since int64) (l Listing, changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.revision <= since {
-		return Listing{}, false
+	l.Revision = m.revision
+	if m.changed > since {
+		l.Objects = slices.Collect(maps.Values(m.objects))
 	}
-	return Listing{Revision: m.revision, Objects: slices.Collect(maps.Values(m.objects))}, true
+	return l, m.changed > since
 }
 
 // Listing is the whole content of a kind at a revision.
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -43,6 +43,7 @@
 
 func (f *fakeReplica) DropIdle()                          {}
 func (f *fakeReplica) SetConnections(replica.Connections) {}
+func (f *fakeReplica) Connected() bool                    { return true }
 func (f *fakeReplica) Open(context.Context) bool          { return true }
 
 // sent returns the number of exchanges.
@@ -107,7 +108,7 @@
 			replicas[id] = rep
 		}
 	})
-	r.store.SetDaemons(map[string]string{"d1": ""})
+	r.store.SetDaemons(map[string]catalog.Daemon{"d1": {}})
 	pool := replica.NewPool(func(address string) replica.Client { return r.replicas[address] })
 	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, Options{
 		Place:      Place{Zone: "near", Region: "home", Regions: testRegions},
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -210,10 +210,10 @@
 	})
 }
 
-func manyDaemons() map[string]string {
-	names := map[string]string{"d1": ""}
+func manyDaemons() map[string]catalog.Daemon {
+	names := map[string]catalog.Daemon{"d1": {}}
 	for i := range 79 {
-		names[fmt.Sprintf("e%d", i)] = ""
+		names[fmt.Sprintf("e%d", i)] = catalog.Daemon{}
 	}
 	return names
 }
@@ -332,9 +332,9 @@
 // Guards the limits of a replica with few and with many daemons.
 func TestSharesKeepTheLimits(t *testing.T) {
 	for _, n := range []int{1, 8, 11, 64, 77} {
-		names := map[string]string{}
+		names := map[string]catalog.Daemon{}
 		for i := range n {
-			names[fmt.Sprintf("front-%d", i)] = ""
+			names[fmt.Sprintf("front-%d", i)] = catalog.Daemon{}
 		}
 		store := catalog.NewStore(0)
 		store.SetDaemons(names)
--- a/internal/forward/view_test.go
+++ b/internal/forward/view_test.go
@@ -13,9 +13,9 @@
 // each shard of each request.
 func TestCandidatesAreWorkedOutOnce(t *testing.T) {
 	r := newRig("s/near", "s/far").route(catalog.Route{Service: "s", Idempotent: true})
-	daemons := map[string]string{"d1": ""}
+	daemons := map[string]catalog.Daemon{"d1": {}}
 	for i := range 400 {
-		daemons[fmt.Sprintf("e%d", i)] = ""
+		daemons[fmt.Sprintf("e%d", i)] = catalog.Daemon{}
 	}
 	r.store.SetDaemons(daemons)
 	route := r.store.Load().Config.Match("h", "/p/x")
