Open connections again that replicas have closed

Cause: an instance of 64 sends half a query a second, and replicas close idle connections after some seconds. A query over 90 shards met several closed ones, and waits a round trip between regions and 6 ms for each new connection; those opened at the start were closed before the first query.

Change: every second, the replica that a request for a service would go to first gets a connection if none is open, for 30 s after the last request. Connections count as open until they are closed.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -104,6 +104,25 @@
 	return nil
 }
 
+// Users returns one route for each service that routes use.
+func (c *Config) Users() map[string]*Route {
+	users := map[string]*Route{}
+	for _, list := range c.routes {
+		for _, r := range list {
+			for _, s := range r.Shards {
+				users[s] = r
+			}
+			for _, part := range r.Split {
+				users[part.Service] = r
+			}
+			if r.Service != "" {
+				users[r.Service] = r
+			}
+		}
+	}
+	return users
+}
+
 // Routes returns the number of routes.
 func (c *Config) Routes() int {
 	n := 0
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -175,13 +175,21 @@
 // first request.
 const upkeepInterval = 100 * time.Millisecond
 
+// keepWarmTicks is the number of upkeep intervals after which connections that
+// replicas have closed are opened again. They close those that were idle for
+// seconds.
+const keepWarmTicks = 10
+
 // upkeep opens connections to new replicas and closes those of replicas that
 // have gone.
 func (d *Daemon) upkeep(ctx context.Context) error {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	var seen *catalog.Snapshot
-	for {
+	for n := 0; ; n++ {
+		if n%keepWarmTicks == 0 {
+			d.forwarder.KeepWarm()
+		}
 		if snap := d.catalog.Load(); snap != seen {
 			seen = snap
 			d.pool.Retain(snap)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -82,13 +82,25 @@
 	return list
 }
 
-// Prepare opens connections to the replicas that requests may go to, so that the
+// Prepare opens connections to all replicas that requests may go to, so that the
 // first requests after a start, or after a change of shards, need not wait for
 // them.
 func (f *Forwarder) Prepare() {
+	now := time.Now()
 	for _, list := range f.current().services {
 		for _, s := range list {
-			s.backend.Warm()
+			s.backend.Warm(now)
+		}
+	}
+}
+
+// KeepWarm opens connections to the replicas that the next requests will go to,
+// where the replica has closed the idle ones.
+func (f *Forwarder) KeepWarm() {
+	now := time.Now()
+	for service, route := range f.current().users {
+		if list := f.candidates(route, service, now); len(list) > 0 {
+			list[0].backend.Warm(now)
 		}
 	}
 }
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -13,6 +13,7 @@
 	snap     *catalog.Snapshot
 	options  *Options
 	services map[string][]sendable
+	users    map[string]*catalog.Route // one route for each service in use
 }
 
 // sendable is a replica that this daemon may send to, if the route allows it.
@@ -39,6 +40,7 @@
 	if snap.Config == nil {
 		return v
 	}
+	v.users = snap.Config.Users()
 	shares := options.Shares
 	ranks := newRanking(shares.Self, snap.Daemons)
 	for name := range snap.Config.Services {
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -54,8 +54,8 @@
 	judgedAt    time.Time
 	inRow       int
 	ejectedTill time.Time
-	moved       bool // another replica has the address
-	warmed      bool // a connection was opened ahead
+	moved       bool      // another replica has the address
+	usedAt      time.Time // when a request was last sent, or the replica became known
 	coldTill    time.Time
 	coldSends   []time.Time
 }
@@ -68,7 +68,7 @@
 }
 
 func newBackend(r catalog.Replica, client Client) *Backend {
-	return &Backend{ID: r.ID, Service: r.Service, born: r.Born, client: client, slowness: 1}
+	return &Backend{ID: r.ID, Service: r.Service, born: r.Born, client: client, slowness: 1, usedAt: time.Now()}
 }
 
 // decay moves the averages towards their neutral values.
@@ -153,6 +153,7 @@
 	stall := max(time.Duration(stallFactor*float64(expected)), minStall)
 	c := call{number: number, started: now, stall: stall}
 	b.outstanding = append(b.outstanding, c)
+	b.usedAt = now
 	return &Permit{backend: b, call: c}, ""
 }
 
@@ -218,14 +219,21 @@
 	}
 }
 
-// Warm opens a connection ahead of the first request, once.
-func (b *Backend) Warm() {
+// keepFor is how long a connection is kept open without a request. Replicas
+// close idle connections after some seconds.
+const keepFor = 30 * time.Second
+
+// Warm opens a connection ahead of the next request if none is open, unless the
+// last request was long ago.
+func (b *Backend) Warm(now time.Time) {
+	if b.client.Connected() {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.warmed && b.opening.begin(time.Now(), 1) {
+	if now.Sub(b.usedAt) < keepFor && b.opening.replace(now) {
 		go b.open()
 	}
-	b.warmed = true
 }
 
 // open opens a connection more.
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -24,6 +24,8 @@
 
 func (s *scripted) SetConnections(Connections) {}
 
+func (s *scripted) Connected() bool { return false }
+
 func (s *scripted) Open(context.Context) bool { return true }
 
 func poolOf(c Client) *Pool { return NewPool(func(string) Client { return c }) }
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -86,6 +86,8 @@
 	Send(ctx context.Context, w Work) Result
 	// SetConnections bounds the connections.
 	SetConnections(Connections)
+	// Connected reports whether a connection is open.
+	Connected() bool
 	// DropIdle closes the connections that carry no request.
 	DropIdle()
 	// Open opens a connection ahead of the next request that needs a new one,
--- a/internal/replica/opening.go
+++ b/internal/replica/opening.go
@@ -16,6 +16,7 @@
 type opening struct {
 	kept   int // connections that the replica kept
 	busy   bool
+	again  bool // the connection that is being opened replaces one
 	pause  time.Duration
 	paused time.Time // no connection is opened before
 }
@@ -32,14 +33,27 @@
 	return true
 }
 
+// replace reports whether a connection is to be opened now in place of one that
+// was closed.
+func (o *opening) replace(now time.Time) bool {
+	if o.busy || now.Before(o.paused) {
+		return false
+	}
+	o.busy, o.again = true, o.kept > 0
+	return true
+}
+
 // end records whether the replica kept a connection that was opened.
 func (o *opening) end(now time.Time, kept bool) {
-	o.busy = false
+	again := o.again
+	o.busy, o.again = false, false
 	if !kept {
 		o.back(now)
 		return
 	}
-	o.kept++
+	if !again {
+		o.kept++
+	}
 	o.pause = 0
 }
 
