Trust readers for a shorter time

It trusted the answers of another instance until half of the contact time, 2.5 s, after the store's last answer, and had to read for itself then, from a store whose answers took long.

Change: answers stand for the store's up to 0.3 of the contact time, 1.5 s; the watch that shows that the store can be reached waits 0.15 of it.

Test: TestReaderThatIsCutOffIsNotTrusted with the users' 3 s and a store that takes 0.6 s; it fails with the earlier shares.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -93,14 +93,6 @@
 	// returnHeartbeats is the number of heartbeats for which the replicas of a
 	// zone count as cold after its evacuation: their next reports tell.
 	returnHeartbeats = 2
-	// watchShare is the part of the contact time that the watch of the
-	// configuration waits. Its answers show that the store can be reached.
-	watchShare = 0.2
-	// relayShare is the part of the contact time up to which the answers of
-	// another instance stand for the store's: longer than the watch waits and two
-	// questions take, and short enough to read from the store within the contact
-	// time otherwise.
-	relayShare = 0.5
 	// longWait is the wait of the other watches, which end when the link is lost.
 	// It is below the longest wait that the store takes, 30 s.
 	longWait = 25 * time.Second
@@ -116,10 +108,9 @@
 // instances.
 func (d *Daemon) follow(source net.IP) {
 	s := d.settings.Load()
-	wait := time.Duration(watchShare * float64(s.Contact))
 	sink := follow.NewReplicaSink(d.logger, d.catalog, d.link)
 	config := follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
-		follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, wait, 0)
+		follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, follow.WatchWait(s.Contact), 0)
 	replicas := follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), sink, longWait, replicaGather)
 	evacuations := follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
 		follow.NewZoneSink(d.logger, d.catalog), longWait, 0)
@@ -128,7 +119,7 @@
 	d.conns = peer.NewConns(d.logger, source)
 	relay := follow.NewRelay(d.logger, d.link,
 		&peers{name: s.Name, zone: s.Zone, address: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.conns},
-		time.Duration(relayShare*float64(s.Contact)),
+		follow.MaxAge(s.Contact),
 		config, replicas, evacuations, daemons)
 	d.peers = peer.NewServer(d.logger, s.PeerListen, peerService{relay})
 	d.runners = append(d.runners, sink.Run, config.Run, replicas.Run, evacuations.Run, relay.Run, d.peers.Run,
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -21,6 +21,7 @@
 	deaf     bool
 	away     bool
 	silent   bool // calls get no answer
+	slow     time.Duration
 	calls    int
 }
 
@@ -73,6 +74,10 @@
 		revision := s.revision
 		s.mu.Unlock()
 		if len(news) > 0 && !deaf || !time.Now().Before(end) {
+			slow := s.slowness()
+			if !sleep(ctx, slow) {
+				return nil, since, ctx.Err()
+			}
 			return news, revision, nil
 		}
 		if !sleep(ctx, time.Millisecond) {
@@ -81,6 +86,12 @@
 	}
 }
 
+func (s *fakeStore) slowness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slow
+}
+
 func (s *fakeStore) Decode(o RawObject) Item[struct{}] {
 	return Item[struct{}]{Name: o.Name, Revision: o.Revision, Valid: true}
 }
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -56,6 +56,28 @@
 	avoidFor = 5 * time.Second
 )
 
+const (
+	// watchShare is the part of the contact time that one watch waits. Its answers
+	// show that the store can be reached.
+	watchShare = 0.15
+	// relayShare is the part of the contact time up to which the answers of
+	// another instance stand for the store's: longer than the watch waits and a
+	// question takes, and well below the time in which a change has to be in
+	// force, three fifths of the contact time, because the instance still has to
+	// read for itself then.
+	relayShare = 0.3
+)
+
+// WatchWait returns the wait of the watch that shows that the store can be
+// reached.
+func WatchWait(contact time.Duration) time.Duration {
+	return time.Duration(watchShare * float64(contact))
+}
+
+// MaxAge returns the age up to which the answers of other instances stand for the
+// store's.
+func MaxAge(contact time.Duration) time.Duration { return time.Duration(relayShare * float64(contact)) }
+
 // Relay learns from other instances: always, if others read from the store for
 // this one, and while the store does not answer this one. A store may turn some
 // instances away and serve the others.
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -12,6 +12,13 @@
 	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
+const (
+	// contact is the contact time of the tests, and applied the time in which a
+	// change has to be in force: the users' figures.
+	contact = 5 * time.Second
+	applied = 3 * time.Second
+)
+
 // group are instances that reach each other, by name.
 type group struct {
 	mu      sync.Mutex
@@ -41,8 +48,8 @@
 func (g *group) start(ctx context.Context, name string, readers ...string) *member {
 	logger := logs.OrDiscard(nil)
 	m := &member{group: g, name: name, readers: readers, store: &fakeStore{revision: 1}, link: NewLink(logger), sink: &replacingSink{}}
-	m.follower = NewFollower(logger, "things", m.link, m.store, m.sink, time.Second, 0)
-	m.relay = NewRelay(logger, m.link, m, 2*time.Second, m.follower)
+	m.follower = NewFollower(logger, "things", m.link, m.store, m.sink, WatchWait(contact), 0)
+	m.relay = NewRelay(logger, m.link, m, MaxAge(contact), m.follower)
 	g.mu.Lock()
 	g.members[name] = m
 	g.mu.Unlock()
@@ -149,11 +156,12 @@
 		t.Run(name, func(t *testing.T) {
 			relayTest(t, func(ctx context.Context, g *group) {
 				reader, other := g.start(ctx, "reader"), g.start(ctx, "other", "reader")
+				other.store.set(func() { other.store.slow = 600 * time.Millisecond })
 				time.Sleep(3 * time.Second)
 				cut(reader)
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
 				add("x", other)
-				time.Sleep(4 * time.Second)
+				time.Sleep(applied)
 				if r := other.follower.Revision(); r != 2 {
 					t.Errorf("revision %d, want 2", r)
 				}
