Soak instances as processes, and catch signals from the start

The handlers were installed after the settings were read and the listeners opened.

Ruled out: a crash (exit by the signal, empty log).

A service that only a route names has its replicas again in the view (the stand-in's configuration had such).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: demo test failures bench build check generate
+.PHONY: demo test failures soak bench build check generate
 
 # demo runs the whole path as separate processes on loopback.
 demo: build
@@ -18,6 +18,13 @@
 failures:
 	$(GO) test -count=1 -timeout 15m -tags failures ./standin/failures
 
+# soak plays random faults on processes, from SEED on, for MINUTES. CI plays one
+# seed as part of make test.
+SEED ?= 1
+MINUTES ?= 10
+soak:
+	$(GO) test -count=1 -timeout 0 ./standin/soak -run 'TestSoak$$' -v -args -seed $(SEED) -minutes $(MINUTES)
+
 bench: build
 	$(GO) build -o bin/ ./standin/cmd/...
 	bin/bench
--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -26,6 +26,7 @@
 )
 
 func main() {
+	stops := catchSignals() // first, since a signal would end a process that starts
 	app := kingpin.New("baobabsill", "One instance of the baobabsill query tier.").Version(release.Version)
 	run := app.Command("run", "Serve until SIGTERM or SIGINT; a second signal cuts the graceful shutdown short.")
 	runConfig := run.Flag("config", "Settings file (INI).").Required().PlaceHolder("FILE").String()
@@ -50,9 +51,9 @@
 		}
 		fmt.Printf("%s: ok\n", *checkConfig)
 	case edgeCommand.FullCommand():
-		os.Exit(serveEdge(*edgeConfig))
+		os.Exit(serveEdge(*edgeConfig, stops))
 	default:
-		os.Exit(serve(load(*runConfig, settings.Load)))
+		os.Exit(serve(load(*runConfig, settings.Load), stops))
 	}
 }
 
@@ -68,12 +69,12 @@
 	return s
 }
 
-func serve(s settings.Settings) int {
+func serve(s settings.Settings, stops signals) int {
 	lines := logs.NewQueue(os.Stderr)
 	defer closeLog(lines)
 	logger := newLogger(lines, s.Log.Level, s.Instance.Name)
 	d, err := daemon.New(logger, lines, s)
-	return runUntilSignal(logger, d, err)
+	return runUntilSignal(logger, d, err, stops)
 }
 
 func newLogger(lines *logs.Queue, level, instance string) *log.Logger {
@@ -93,31 +94,31 @@
 
 // runUntilSignal runs an instance, unless it could not be made, and returns the
 // exit code.
-func runUntilSignal(logger *log.Logger, d runner, err error) int {
+func runUntilSignal(logger *log.Logger, d runner, err error, stops signals) int {
 	if err != nil {
 		logger.Error().Err(err).Msg("instance not started")
 		return exitFailure
 	}
-	stop, force := signalContexts()
-	if err := d.Run(stop, force); err != nil {
+	if err := d.Run(stops.stop, stops.force); err != nil {
 		logger.Error().Err(err).Msg("instance failed")
 		return exitFailure
 	}
 	return exitOK
 }
 
-// signalContexts returns a context that ends at the first signal and one that
-// ends at the second.
-func signalContexts() (stop, force context.Context) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+// signals are contexts that end at the first and at the second signal to stop.
+type signals struct{ stop, force context.Context }
+
+func catchSignals() signals {
+	caught := make(chan os.Signal, 2)
+	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT)
 	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
 	go func() {
-		<-signals
+		<-caught
 		cancelStop()
-		<-signals
+		<-caught
 		cancelForce()
 	}()
-	return stop, force
+	return signals{stop, force}
 }
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -43,7 +43,7 @@
 	v.users = snap.Config.Users()
 	shares := options.Shares
 	ranks := newRanking(shares.Self, snap.Daemons)
-	for name := range snap.Config.Services {
+	for name := range v.users {
 		var list []sendable
 		for _, r := range snap.Replicas(name) {
 			if r.Draining || snap.IsEvacuated(r.Zone) || !shares.admits(snap, ranks, r) {
--- /dev/null
+++ b/standin/soak/deployment_test.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/baobabsill/baobabsill/platform/platformtest"
+	"github.com/baobabsill/baobabsill/standin/harness"
+	"github.com/baobabsill/baobabsill/standin/link"
+)
+
+const (
+	shards       = 6
+	perZone      = 2
+	records      = 4 // of each shard
+	grace        = 2 * time.Second
+	stopBound    = grace + time.Second
+	startTimeout = 10 * time.Second
+)
+
+var zones = []string{"near", "far"}
+
+// instance is one process of the product.
+type instance struct {
+	name, zone, callers, ready string
+	path                       string // of its settings
+	process                    *harness.Process
+}
+
+// deployment is a running system: the instances are processes, the store, the
+// replicas and the links between them stand-ins in this one.
+type deployment struct {
+	t          *testing.T
+	dir        string
+	supervisor *harness.Supervisor
+	store      *platformtest.Store
+	link       *link.Relay
+	replicas   []*platformtest.Replica
+	instances  []*instance
+}
+
+const settings = `[instance]
+name = %s
+zone = %s
+region = %s
+zones = near:home,far:abroad
+caller_listen = %s
+ready_listen = %s
+metrics_listen = %s
+peer_listen = %s
+[platform]
+address = %s
+contact = 2s
+[shutdown]
+grace = %s
+[limits]
+max_in_flight = 200
+[retry]
+ratio = 0.2
+slack = 50
+`
+
+// freeAddress returns an IP:port of a zone where nobody listens.
+func freeAddress(t *testing.T, zone int) string {
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:0", zone+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func deploy(t *testing.T) *deployment {
+	d := &deployment{t: t, dir: t.TempDir(), store: platformtest.NewStore(t)}
+	d.supervisor = harness.NewSupervisor(d.dir)
+	t.Cleanup(func() { d.supervisor.Close() })
+	build := exec.Command("go", "build", "-o", d.dir+"/", "github.com/baobabsill/baobabsill/cmd/baobabsill")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	spec := link.Spec{Prefixes: map[string]string{"127.0.1.": "near", "127.0.2.": "far"}}
+	spec.Routes = append(spec.Routes, link.Route{Advertised: "127.0.0.1:0", Forward: d.store.Address(), Zone: "store"})
+	var names []string
+	add := func(service string, zone string, body string) {
+		r := platformtest.NewReplica(t, fmt.Sprintf("%s-%s", service, zone), service, zone, body)
+		d.replicas = append(d.replicas, r)
+		spec.Routes = append(spec.Routes, link.Route{Advertised: "127.0.0.1:0", Forward: r.Address(), Zone: "at " + zone})
+	}
+	for _, z := range zones {
+		add("s", z, "done by s-"+z)
+	}
+	for i := range shards {
+		name := fmt.Sprintf("x%d", i)
+		names = append(names, name)
+		for _, z := range zones {
+			add(name, z, body(name))
+		}
+	}
+	d.link = link.New(spec)
+	if err := d.link.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.link.Close)
+	addresses := d.link.Addresses()
+	for i, r := range d.replicas {
+		s := r.Spec("ready")
+		s["address"] = addresses[i+1]
+		d.store.Put(platformtest.KindReplicas, r.ID, s)
+	}
+	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(1, names...))
+	for z, zone := range zones {
+		for n := range perZone {
+			i := &instance{name: fmt.Sprintf("%s-%d", zone, n), zone: zone, callers: freeAddress(t, z), ready: freeAddress(t, z)}
+			i.path = filepath.Join(d.dir, i.name+".ini")
+			text := fmt.Sprintf(settings, i.name, zone, map[string]string{"near": "home", "far": "abroad"}[zone], i.callers, i.ready,
+				freeAddress(t, z), freeAddress(t, z), addresses[0], grace)
+			if err := os.WriteFile(i.path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			d.instances = append(d.instances, i)
+			d.start(i)
+		}
+	}
+	d.allReady()
+	return d
+}
+
+// body returns the records of a shard, the greatest first.
+func body(shard string) string {
+	var b strings.Builder
+	for i := range records {
+		fmt.Fprintf(&b, "%04d-%-11s", 9000-i, shard)
+	}
+	return b.String()
+}
+
+func (d *deployment) start(i *instance) {
+	p, err := d.supervisor.Start(i.name, filepath.Join(d.dir, "baobabsill"), "edge", "--config", i.path)
+	if err != nil {
+		d.t.Errorf("%s: %v", i.name, err)
+		return
+	}
+	i.process = p
+	// A signal ends a process that has not begun to run its own code.
+	for end := time.Now().Add(startTimeout); d.supervisor.Tail(i.name) == "" && !p.HasEnded(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			d.t.Errorf("%s does not start", i.name)
+			return
+		}
+	}
+}
+
+// stop stops an instance gracefully and starts it again.
+func (d *deployment) stop(i *instance) {
+	if err := harness.Stop(stopBound, i.process); err != nil {
+		d.t.Errorf("%s: stop: %v", i.name, err)
+	}
+	d.start(i)
+}
+
+func (d *deployment) kill(i *instance, down time.Duration) {
+	i.process.Kill()
+	time.Sleep(down)
+	d.start(i)
+}
+
+func (d *deployment) pause(i *instance, length time.Duration) {
+	d.signal(i, syscall.SIGSTOP)
+	time.Sleep(length)
+	d.signal(i, syscall.SIGCONT)
+}
+
+func (d *deployment) signal(i *instance, sig syscall.Signal) {
+	if err := i.process.Signal(sig); err != nil && !i.process.HasEnded() {
+		d.t.Errorf("%s: %v: %v", i.name, sig, err)
+	}
+}
+
+func (d *deployment) change(c link.Change) {
+	if err := d.link.Apply(c); err != nil {
+		d.t.Error(err)
+	}
+}
+
+// allReady waits until all instances are ready.
+func (d *deployment) allReady() {
+	d.t.Helper()
+	end := time.Now().Add(startTimeout)
+	for _, i := range d.instances {
+		for !isReady(i) {
+			if time.Now().After(end) {
+				d.t.Fatalf("%s is not ready: %s", i.name, d.supervisor.Tail(i.name))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
