Let an instance that reads for its zone go on to try a lost store

Cause: found in the read-through. A reader whose link was lost left the store alone as long as some other instance had fresh answers. Two such instances could rest on each other until the answers were too old, and a reader did not notice that its store was back (the test of the relay had to silence the other instance since the change).

Change: only instances for which another one reads leave the store alone.

Test: TestRelayServesInstancesThatTheStoreTurnsAway without the silence, as it was before; it failed with the relay as it stood.

--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -107,27 +107,25 @@
 	return nil
 }
 
-// round asks those that read for this instance. While the store does not answer
-// this instance either, it asks any other one.
+// round asks those that read for this instance. If none helps and the store does
+// not answer, it asks any other one.
 func (r *Relay) round(ctx context.Context) {
-	readers := r.usable(r.peers.Readers())
-	if len(readers) == 0 && r.link.Lost() {
-		if any := r.peers.Any(); any != "" {
-			readers = []string{any}
-		}
-	}
-	for _, name := range readers {
-		fresh, err := r.ask(ctx, name)
-		if err != nil {
-			r.avoid[name] = time.Now().Add(avoidFor)
-			r.logger.Info().Str("event", "peer silent").Str("peer", name).Err(err).Msg("instance does not answer")
-		}
+	for _, name := range r.usable(r.peers.Readers()) {
+		confirmed, fresh := r.ask(ctx, name)
 		if fresh {
-			r.rest(name, true)
+			r.link.rest(confirmed, confirmed.Add(r.maxAge))
+			r.logRest(name, true)
 			return
 		}
 	}
-	r.rest("", false)
+	r.logRest("", false)
+	if !r.link.Lost() {
+		return
+	}
+	// An instance that reads for itself goes on to try the store meanwhile.
+	if other := r.peers.Any(); other != "" {
+		r.ask(ctx, other)
+	}
 }
 
 // usable returns the readers to ask now.
@@ -141,8 +139,8 @@
 	return list
 }
 
-// rest logs whether the store is left alone.
-func (r *Relay) rest(reader string, resting bool) {
+// logRest logs whether the store is left alone.
+func (r *Relay) logRest(reader string, resting bool) {
 	if resting != r.rested {
 		r.rested = resting
 		r.logger.Info().Str("event", "reader").Str("reader", reader).Bool("relayed", resting).
@@ -150,8 +148,9 @@
 	}
 }
 
-// ask asks an instance, and reports whether its answer stands for the store's.
-func (r *Relay) ask(ctx context.Context, instance string) (fresh bool, err error) {
+// ask asks an instance. It returns when the store last answered the other one, and
+// whether that answer stands for one of the store to this instance.
+func (r *Relay) ask(ctx context.Context, instance string) (confirmed time.Time, fresh bool) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	have := make(map[string]int64, len(r.followers))
@@ -161,13 +160,16 @@
 	asked := time.Now()
 	a, err := r.peers.Fetch(ctx, instance, have)
 	if err != nil {
-		return false, err
+		r.avoid[instance] = time.Now().Add(avoidFor)
+		r.logger.Info().Str("event", "peer silent").Str("peer", instance).Err(err).Msg("instance does not answer")
+		return time.Time{}, false
 	}
-	fresh = a.Age+time.Since(asked) <= r.maxAge && r.complete(a)
+	confirmed = asked.Add(-a.Age)
+	fresh = time.Since(confirmed) <= r.maxAge && r.complete(a)
 	if !fresh {
 		r.logger.Debug().Str("event", "peer behind").Str("peer", instance).Dur("age", a.Age).Msg("instance knows less, or nothing new")
 		if !r.link.Lost() {
-			return false, nil
+			return confirmed, false
 		}
 	}
 	if a.Back > 0 {
@@ -182,11 +184,7 @@
 			f.MoveOn(revision)
 		}
 	}
-	if fresh {
-		confirmed := asked.Add(-a.Age)
-		r.link.rest(confirmed, confirmed.Add(r.maxAge))
-	}
-	return fresh, nil
+	return confirmed, fresh
 }
 
 // complete reports whether the other instance has read all kinds, and has each
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -115,7 +115,6 @@
 		if n, r := turnedAway.sink.listed(), turnedAway.follower.Revision(); n != 2 || r != 3 {
 			t.Errorf("%d objects at revision %d, want 2 at 3", n, r)
 		}
-		served.silent.Store(true)
 		turnedAway.store.set(func() { turnedAway.store.away, turnedAway.store.revision = false, 3 })
 		time.Sleep(5 * time.Second)
 		if turnedAway.link.Lost() {
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// overload returns the expected latency of a shard with some candidates, and whether it would be late
-// at each of its replicas. Failures and stalls don't count: they are over soon.
+// overload returns the expected latency of a shard with some candidates, and
+// whether it would be late at each of them. Failures and stalls don't count: they
+// are over soon.
 func (r *run) overload(list []candidate, now time.Time) (latency time.Duration, over bool) {
 	if len(list) == 0 {
 		return 0, false // closed by its first exchange
