Work out once what routes use, and share what the change wrote twice

The services in use were collected from all routes at each change of a replica, though they follow from the configuration alone; the filter of draining, evacuated and foreign replicas stood in the view and again beside it; the kind of an opening was held as state between its begin and its end; `edges` copied the loop of `status` that asks instances side by side.

Ruled out: one rendezvous hash for placement and forward.

Change: NewConfig collects the services in use; refusals before the first exchange use the view; the goroutine that opens a connection knows whether it is one more; inParallel serves both commands. Behaviour is the same, but for the reason of a refused query of which no replica is this daemon's: `no replica` in place of `too few shards`.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -15,6 +15,7 @@
 	Services map[string]Service
 	Limits   Limits
 	routes   map[string][]*Route // by host, longest prefix first
+	users    map[string]*Route   // one for each service in use
 }
 
 // Service is a declared service.
@@ -79,13 +80,25 @@
 
 // NewConfig indexes the routes of a configuration.
 func NewConfig(version int64, routes []Route, services []Service, limits Limits) *Config {
-	c := &Config{Version: version, Limits: limits, Services: make(map[string]Service, len(services)), routes: map[string][]*Route{}}
+	c := &Config{
+		Version: version, Limits: limits, Services: make(map[string]Service, len(services)),
+		routes: map[string][]*Route{}, users: map[string]*Route{},
+	}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
 	for i := range routes {
 		r := &routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+		for _, s := range r.Shards {
+			c.users[s] = r
+		}
+		for _, part := range r.Split {
+			c.users[part.Service] = r
+		}
+		if r.Service != "" {
+			c.users[r.Service] = r
+		}
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -104,24 +117,9 @@
 	return nil
 }
 
-// Users returns one route for each service that routes use.
-func (c *Config) Users() map[string]*Route {
-	users := map[string]*Route{}
-	for _, list := range c.routes {
-		for _, r := range list {
-			for _, s := range r.Shards {
-				users[s] = r
-			}
-			for _, part := range r.Split {
-				users[part.Service] = r
-			}
-			if r.Service != "" {
-				users[r.Service] = r
-			}
-		}
-	}
-	return users
-}
+// Users returns one route for each service that routes use. The map must not be
+// changed.
+func (c *Config) Users() map[string]*Route { return c.users }
 
 // Routes returns the number of routes.
 func (c *Config) Routes() int {
--- a/internal/ctl/edges.go
+++ b/internal/ctl/edges.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
@@ -119,22 +118,15 @@
 
 func askEdges(ctx context.Context, client *http.Client, addresses []string, timeout time.Duration) []EdgeReport {
 	reports := make([]EdgeReport, len(addresses))
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, statusCalls)
-	for n, a := range addresses {
-		slots <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			reports[n].Address = a
-			var d status.Edge
-			if err := fetchStatus(ctx, client, a, timeout, &d); err != nil {
-				reports[n].Error = err.Error()
-				return
-			}
-			reports[n].Document = &d
-		})
-	}
-	wg.Wait()
+	inParallel(len(addresses), func(n int) {
+		reports[n].Address = addresses[n]
+		var d status.Edge
+		if err := fetchStatus(ctx, client, addresses[n], timeout, &d); err != nil {
+			reports[n].Error = err.Error()
+			return
+		}
+		reports[n].Document = &d
+	})
 	return reports
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -131,22 +131,29 @@
 
 // ask fills in the answers of the instances.
 func ask(ctx context.Context, client *http.Client, instances []InstanceReport, timeout time.Duration) {
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, statusCalls)
-	for n := range instances {
+	inParallel(len(instances), func(n int) {
 		i := &instances[n]
 		if i.Error != "" {
-			continue
+			return
 		}
+		var d status.Document
+		if err := fetchStatus(ctx, client, i.Address, timeout, &d); err != nil {
+			i.Error = err.Error()
+			return
+		}
+		i.Name, i.Zone, i.Document = d.Instance, d.Zone, &d
+	})
+}
+
+// inParallel calls f for 0 to n-1, up to statusCalls at once.
+func inParallel(n int, f func(i int)) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, statusCalls)
+	for i := range n {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			var d status.Document
-			if err := fetchStatus(ctx, client, i.Address, timeout, &d); err != nil {
-				i.Error = err.Error()
-				return
-			}
-			i.Name, i.Zone, i.Document = d.Instance, d.Zone, &d
+			f(i)
 		})
 	}
 	wg.Wait()
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -45,20 +45,14 @@
 	ejected      bool
 }
 
-// usable reports whether new work may go to a replica.
-func usable(snap *catalog.Snapshot, place Place, route *catalog.Route, r catalog.Replica) bool {
-	return !r.Draining && !snap.IsEvacuated(r.Zone) && route.AllowsRegion(place.Regions[r.Zone])
-}
-
 // candidates returns the replicas of a service that may get a request, the best
 // one first.
 func (f *Forwarder) candidates(route *catalog.Route, service string, now time.Time) []candidate {
-	v := f.current()
-	sendable := v.services[service]
+	sendable := f.current().services[service]
 	list := make([]candidate, 0, len(sendable))
 	for _, s := range sendable {
 		r := s.replica
-		if !route.AllowsRegion(v.options.Place.Regions[r.Zone]) || s.backend.Moved() {
+		if !route.AllowsRegion(s.region) || s.backend.Moved() {
 			continue
 		}
 		c := candidate{replica: r, backend: s.backend, coldLimit: s.coldLimit}
@@ -97,8 +91,12 @@
 // KeepWarm opens connections to the replicas that the next requests will go to,
 // where the replica has closed the idle ones.
 func (f *Forwarder) KeepWarm() {
+	config := f.store.Load().Config
+	if config == nil {
+		return
+	}
 	now := time.Now()
-	for service, route := range f.current().users {
+	for service, route := range config.Users() {
 		if list := f.candidates(route, service, now); len(list) > 0 {
 			list[0].backend.Warm(now)
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -134,12 +134,10 @@
 // refuseEarly refuses a request for which too few replicas are usable, before
 // anything is sent.
 func (r *run) refuseEarly() (Answer, bool) {
-	snap, open := r.f.store.Load(), 0
+	services, open := r.f.current().services, 0
 	for i := range r.shards {
 		sh := &r.shards[i]
-		if slices.ContainsFunc(snap.Replicas(sh.service), func(c catalog.Replica) bool {
-			return usable(snap, r.f.place(), r.route, c)
-		}) {
+		if slices.ContainsFunc(services[sh.service], func(s sendable) bool { return r.route.AllowsRegion(s.region) }) {
 			open++
 		} else {
 			sh.closed, sh.reason = true, "no replica"
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -12,14 +12,14 @@
 type view struct {
 	snap     *catalog.Snapshot
 	options  *Options
-	services map[string][]sendable
-	users    map[string]*catalog.Route // one route for each service in use
+	services map[string][]sendable // of the services that routes use
 }
 
 // sendable is a replica that this daemon may send to, if the route allows it.
 type sendable struct {
 	replica   catalog.Replica
 	backend   *replica.Backend
+	region    string
 	distance  int
 	coldLimit int // requests in any second while it is cold
 }
@@ -40,10 +40,9 @@
 	if snap.Config == nil {
 		return v
 	}
-	v.users = snap.Config.Users()
 	shares := options.Shares
 	ranks := newRanking(shares.Self, snap.Daemons)
-	for name := range v.users {
+	for name := range snap.Config.Users() {
 		var list []sendable
 		for _, r := range snap.Replicas(name) {
 			if r.Draining || snap.IsEvacuated(r.Zone) || !shares.admits(snap, ranks, r) {
@@ -51,7 +50,7 @@
 			}
 			list = append(list, sendable{
 				replica: r, backend: f.pool.Backend(r, shares.connections(snap, r)),
-				distance: options.Place.distance(r.Zone), coldLimit: shares.coldLimit(snap, r),
+				region: options.Place.Regions[r.Zone], distance: options.Place.distance(r.Zone), coldLimit: shares.coldLimit(snap, r),
 			})
 		}
 		v.services[name] = list
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -138,8 +138,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.outstanding) >= b.opening.limit(b.connections.Open) {
-		if b.opening.begin(now, b.connections.Open) {
-			go b.open()
+		if b.opening.kept < b.connections.Open && b.opening.begin(now) {
+			go b.open(true)
 		}
 		return nil, "connections"
 	}
@@ -231,17 +231,17 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.usedAt) < keepFor && b.opening.replace(now) {
-		go b.open()
+	if now.Sub(b.usedAt) < keepFor && b.opening.begin(now) {
+		go b.open(b.opening.kept == 0)
 	}
 }
 
-// open opens a connection more.
-func (b *Backend) open() {
+// open opens a connection: one more, or one in place of another that was closed.
+func (b *Backend) open(more bool) {
 	kept := b.client.Open(context.Background())
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.opening.end(time.Now(), kept)
+	b.opening.end(time.Now(), kept, more)
 }
 
 func (b *Backend) setConnections(c Connections) {
--- a/internal/replica/opening.go
+++ b/internal/replica/opening.go
@@ -16,7 +16,6 @@
 type opening struct {
 	kept   int // connections that the replica kept
 	busy   bool
-	again  bool // the connection that is being opened replaces one
 	pause  time.Duration
 	paused time.Time // no connection is opened before
 }
@@ -24,34 +23,24 @@
 // limit returns the connections that may be in use, share at most.
 func (o *opening) limit(share int) int { return min(o.kept, share) }
 
-// begin reports whether one connection more is to be opened now.
-func (o *opening) begin(now time.Time, share int) bool {
-	if o.busy || now.Before(o.paused) || o.kept >= share {
-		return false
-	}
-	o.busy = true
-	return true
-}
-
-// replace reports whether a connection is to be opened now in place of one that
-// was closed.
-func (o *opening) replace(now time.Time) bool {
+// begin reports whether a connection may be opened now.
+func (o *opening) begin(now time.Time) bool {
 	if o.busy || now.Before(o.paused) {
 		return false
 	}
-	o.busy, o.again = true, o.kept > 0
+	o.busy = true
 	return true
 }
 
-// end records whether the replica kept a connection that was opened.
-func (o *opening) end(now time.Time, kept bool) {
-	again := o.again
-	o.busy, o.again = false, false
+// end records whether the replica kept a connection that was opened. more is false
+// for one in place of another that was closed.
+func (o *opening) end(now time.Time, kept, more bool) {
+	o.busy = false
 	if !kept {
 		o.back(now)
 		return
 	}
-	if !again {
+	if more {
 		o.kept++
 	}
 	o.pause = 0
