Share the stand-ins of the tests

Ruled out: the soak's caller and harness.Balancer: they speak different protocols.

Change: exchangetest.Serve, platformtest.Instance, listen and connect; the soak's faults choose their lock by name. Each assertion stays, and a seed stands for the same faults.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,44 +23,26 @@
 	t        testing.TB
 	store    *platformtest.Store
 	replicas []*platformtest.Replica
-	settings settings.Edge
+	instance platformtest.Instance
 	path     string
 	hup      chan os.Signal
 	stop     context.CancelFunc
 	ended    chan error
 }
 
-const settingsFile = `[instance]
-name = d1
-zone = near
-region = home
-zones = near:home,far:abroad
-caller_listen = %s
-ready_listen = %s
-metrics_listen = %s
-peer_listen = %s
-[platform]
-address = %s
-contact = 1s
-[shutdown]
-grace = 2s
-[limits]
-max_in_flight = %d
-`
-
 func (d *deployment) writeSettings(maxInFlight int) {
 	d.t.Helper()
-	text := fmt.Sprintf(settingsFile, d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.settings.PeerListen, d.store.Address(), maxInFlight)
-	if err := os.WriteFile(d.path, []byte(text), 0o600); err != nil {
-		d.t.Fatal(err)
-	}
+	d.instance.MaxInFlight = maxInFlight
+	d.instance.WriteSettings(d.t, d.path, d.store.Address())
 }
 
 // newDeployment returns a deployment without replicas that is not started.
 func newDeployment(t testing.TB) *deployment {
-	d := &deployment{t: t, store: platformtest.NewStore(t), path: filepath.Join(t.TempDir(), "settings.ini"), hup: make(chan os.Signal, 1), ended: make(chan error, 1)}
-	d.settings.CallerListen, d.settings.ReadyListen, d.settings.MetricsListen, d.settings.PeerListen =
-		platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t), platformtest.FreeAddress(t)
+	d := &deployment{
+		t: t, store: platformtest.NewStore(t), path: filepath.Join(t.TempDir(), "settings.ini"),
+		instance: platformtest.NewInstance(t, "d1", "near", "127.0.0.1"), hup: make(chan os.Signal, 1), ended: make(chan error, 1),
+	}
+	d.instance.Contact, d.instance.Grace = time.Second, 2*time.Second
 	d.writeSettings(100)
 	return d
 }
@@ -92,7 +73,7 @@
 	d.stop = stop
 	go func() { d.ended <- daemon.Run(ctx, context.Background()) }()
 	d.t.Cleanup(stop)
-	d.eventually("ready", func() bool { return d.readyStatus() == http.StatusOK })
+	d.eventually("ready", d.instance.IsReady)
 }
 
 func (d *deployment) eventually(what string, f func() bool) {
@@ -104,19 +85,10 @@
 	}
 }
 
-func (d *deployment) readyStatus() int {
-	resp, err := http.Get("http://" + d.settings.ReadyListen + platformtest.ReadyPath)
-	if err != nil {
-		return 0
-	}
-	resp.Body.Close()
-	return resp.StatusCode
-}
-
 // operators returns what operators see at a path.
 func (d *deployment) operators(path string) string {
 	d.t.Helper()
-	resp, err := http.Get("http://" + d.settings.MetricsListen + path)
+	resp, err := http.Get("http://" + d.instance.Metrics + path)
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -128,8 +100,19 @@
 	return string(data)
 }
 
+// connect returns a connection of a caller, which ends with the test.
+func (d *deployment) connect() net.Conn {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.instance.Callers)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { c.Close() })
+	return c
+}
+
 func (d *deployment) request(method, path, body string) *http.Request {
-	req, err := http.NewRequest(method, "http://"+d.settings.CallerListen+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+d.instance.Callers+path, strings.NewReader(body))
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -199,7 +182,7 @@
 	})
 
 	d.stop()
-	d.eventually("not ready", func() bool { return d.readyStatus() != http.StatusOK })
+	d.eventually("not ready", func() bool { return !d.instance.IsReady() })
 	if err := <-d.ended; err != nil {
 		t.Errorf("stop: %v", err)
 	}
@@ -213,11 +196,7 @@
 func TestStopAnswersWhatWasRead(t *testing.T) {
 	d := deploy(t)
 	d.replicas[0].SetTook(500 * time.Millisecond)
-	c, err := net.Dial("tcp", d.settings.CallerListen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := d.connect()
 	br := bufio.NewReader(c)
 	for i := range 2 {
 		if i == 1 {
@@ -252,10 +231,7 @@
 		"space in name":     "Content-Length : 60\r\n\r\n",
 		"bare line end":     "X-A: b\nContent-Length: 60\r\n\r\n",
 	} {
-		c, err := net.Dial("tcp", d.settings.CallerListen)
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := d.connect()
 		if _, err := io.WriteString(c, "POST /one/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"+fields+hidden); err != nil {
 			t.Fatal(err)
 		}
@@ -275,10 +251,7 @@
 func TestLeavingCallerCancelsItsRequest(t *testing.T) {
 	d := deploy(t)
 	d.replicas[0].SetTook(700 * time.Millisecond)
-	c, err := net.Dial("tcp", d.settings.CallerListen)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := d.connect()
 	if err := d.request("POST", "/one/x", "order").Write(c); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -50,7 +50,6 @@
 	f.budget.SetBounds(o.RetryRatio, o.RetrySlack)
 }
 
-
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
--- a/internal/target/fake_test.go
+++ b/internal/target/fake_test.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"flag"
@@ -18,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/exchange/exchangetest"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
@@ -66,14 +66,7 @@
 }
 
 func (f *fakeTarget) serve(c net.Conn) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
+	exchangetest.Serve(c, func(r *http.Request) bool {
 		f.mu.Lock()
 		f.order = append(f.order, r.Header.Get("X-Attempt-Id"))
 		f.running++
@@ -82,10 +75,8 @@
 			f.excess = fmt.Sprintf("%d running after %d answers", f.running, f.answers)
 		}
 		f.mu.Unlock()
-		if !f.handle(c, r) {
-			return
-		}
-	}
+		return f.handle(c, r)
+	})
 }
 
 // done ends the run of a request; it is called before the answer is written.
--- a/standin/soak/callers_test.go
+++ b/standin/soak/callers_test.go
@@ -42,7 +42,7 @@
 	if order {
 		method, path = http.MethodPost, "/one/q"
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+i.callers+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+i.Callers+path, nil)
 	if err != nil {
 		l.t.Error(err)
 		return false
@@ -170,12 +170,3 @@
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * callerPause))))
 	}
 }
-
-func isReady(i *instance) bool {
-	resp, err := http.Get("http://" + i.ready + platformtest.ReadyPath)
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
--- a/standin/soak/deployment_test.go
+++ b/standin/soak/deployment_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -31,9 +29,9 @@
 
 // instance is one process of the product.
 type instance struct {
-	name, zone, callers, ready string
-	path                       string // of its settings
-	process                    *harness.Process
+	platformtest.Instance
+	path    string // of its settings
+	process *harness.Process
 }
 
 // deployment is a running system: the instances are processes, the store, the
@@ -48,36 +46,8 @@
 	instances  []*instance
 }
 
-const settings = `[instance]
-name = %s
-zone = %s
-region = %s
-zones = near:home,far:abroad
-caller_listen = %s
-ready_listen = %s
-metrics_listen = %s
-peer_listen = %s
-[platform]
-address = %s
-contact = 2s
-[shutdown]
-grace = %s
-[limits]
-max_in_flight = 200
-[retry]
-ratio = 0.2
-slack = 50
-`
-
-// freeAddress returns an IP:port of a zone where nobody listens.
-func freeAddress(t *testing.T, zone int) string {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:0", zone+1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
+// budget gives the callers' requests repeats.
+const budget = "[retry]\nratio = 0.2\nslack = 50\n"
 
 func deploy(t *testing.T) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), store: platformtest.NewStore(t)}
@@ -119,13 +89,10 @@
 	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(1, names...))
 	for z, zone := range zones {
 		for n := range perZone {
-			i := &instance{name: fmt.Sprintf("%s-%d", zone, n), zone: zone, callers: freeAddress(t, z), ready: freeAddress(t, z)}
-			i.path = filepath.Join(d.dir, i.name+".ini")
-			text := fmt.Sprintf(settings, i.name, zone, map[string]string{"near": "home", "far": "abroad"}[zone], i.callers, i.ready,
-				freeAddress(t, z), freeAddress(t, z), addresses[0], grace)
-			if err := os.WriteFile(i.path, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
+			i := &instance{Instance: platformtest.NewInstance(t, fmt.Sprintf("%s-%d", zone, n), zone, fmt.Sprintf("127.0.%d.1", z+1))}
+			i.Contact, i.Grace, i.MaxInFlight, i.More = 2*time.Second, grace, 200, budget
+			i.path = filepath.Join(d.dir, i.Name+".ini")
+			i.WriteSettings(t, i.path, addresses[0])
 			d.instances = append(d.instances, i)
 			d.start(i)
 		}
@@ -144,16 +111,16 @@
 }
 
 func (d *deployment) start(i *instance) {
-	p, err := d.supervisor.Start(i.name, filepath.Join(d.dir, "baobabsill"), "edge", "--config", i.path)
+	p, err := d.supervisor.Start(i.Name, filepath.Join(d.dir, "baobabsill"), "edge", "--config", i.path)
 	if err != nil {
-		d.t.Errorf("%s: %v", i.name, err)
+		d.t.Errorf("%s: %v", i.Name, err)
 		return
 	}
 	i.process = p
 	// A signal ends a process that has not begun to run its own code.
-	for end := time.Now().Add(startTimeout); d.supervisor.Tail(i.name) == "" && !p.HasEnded(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(startTimeout); d.supervisor.Tail(i.Name) == "" && !p.HasEnded(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			d.t.Errorf("%s does not start", i.name)
+			d.t.Errorf("%s does not start", i.Name)
 			return
 		}
 	}
@@ -162,7 +129,7 @@
 // stop stops an instance gracefully and starts it again.
 func (d *deployment) stop(i *instance) {
 	if err := harness.Stop(stopBound, i.process); err != nil {
-		d.t.Errorf("%s: stop: %v\n%s", i.name, err, d.supervisor.Tail(i.name))
+		d.t.Errorf("%s: stop: %v\n%s", i.Name, err, d.supervisor.Tail(i.Name))
 	}
 	d.start(i)
 }
@@ -181,7 +148,7 @@
 
 func (d *deployment) signal(i *instance, sig syscall.Signal) {
 	if err := i.process.Signal(sig); err != nil && !i.process.HasEnded() {
-		d.t.Errorf("%s: %v: %v", i.name, sig, err)
+		d.t.Errorf("%s: %v: %v", i.Name, sig, err)
 	}
 }
 
@@ -196,9 +163,9 @@
 	d.t.Helper()
 	end := time.Now().Add(startTimeout)
 	for _, i := range d.instances {
-		for !isReady(i) {
+		for !i.IsReady() {
 			if time.Now().After(end) {
-				d.t.Fatalf("%s is not ready: %s", i.name, d.supervisor.Tail(i.name))
+				d.t.Fatalf("%s is not ready: %s", i.Name, d.supervisor.Tail(i.Name))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -92,7 +92,7 @@
 	l.audit(d)
 	for _, i := range d.instances {
 		if i.process.HasEnded() {
-			t.Errorf("%s ended by itself: %v\n%s", i.name, i.process.Err(), d.supervisor.Tail(i.name))
+			t.Errorf("%s ended by itself: %v\n%s", i.Name, i.process.Err(), d.supervisor.Tail(i.Name))
 		}
 	}
 	t.Logf("%d requests: %v; faults: %s", l.sent, l.outcomes, strings.Join(f.log, ", "))
@@ -153,30 +153,35 @@
 	}
 }
 
+// kinds are the faults. A seed stands for their order.
+var kinds = [...]string{"kill", "stop", "pause", "reload", "store away", "cut", "delay", "reset", "slow replica"}
+
 func (f *faults) one(rng *rand.Rand) {
 	length := 200*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond)))
 	victim := rng.IntN(len(f.instances))
 	pair := pairs()[rng.IntN(len(pairs()))]
 	slow := rng.IntN(len(f.replicas))
-	kind := rng.IntN(9)
-	names := [...]string{"kill", "stop", "pause", "reload", "store away", "cut", "delay", "reset", "slow replica"}
+	name := kinds[rng.IntN(len(kinds))]
 	f.mu.Lock()
-	f.log = append(f.log, names[kind])
+	f.log = append(f.log, name)
 	f.mu.Unlock()
 	i := f.instances[victim]
-	if kind <= 3 {
-		f.victims[victim].Lock()
-		defer f.victims[victim].Unlock()
-	}
-	if kind >= 5 && kind <= 7 {
-		f.links[pair[0]+pair[1]].Lock()
-		defer f.links[pair[0]+pair[1]].Unlock()
+	held := &f.victims[victim]
+	switch name {
+	case "store away":
+		held = &f.away
+	case "cut", "delay", "reset":
+		held = f.links[pair[0]+pair[1]]
+	case "slow replica":
+		held = &f.slow[slow]
 	}
+	held.Lock()
+	defer held.Unlock()
 	change := func(c link.Change) {
 		c.A, c.B = pair[0], pair[1]
 		f.change(c)
 	}
-	switch names[kind] {
+	switch name {
 	case "kill":
 		f.kill(i, length/2)
 	case "stop":
@@ -186,8 +191,6 @@
 	case "reload":
 		f.signal(i, syscall.SIGHUP)
 	case "store away":
-		f.away.Lock()
-		defer f.away.Unlock()
 		f.store.SetAway(true)
 		time.Sleep(length)
 		f.store.SetAway(false)
@@ -204,8 +207,6 @@
 	case "reset":
 		change(link.Change{Reset: true})
 	case "slow replica":
-		f.slow[slow].Lock()
-		defer f.slow[slow].Unlock()
 		f.replicas[slow].SetTook(time.Duration(rng.Int64N(int64(2 * time.Second))))
 		time.Sleep(length)
 		f.replicas[slow].SetTook(0)
