Log and count the rate limit that a replica names

Callers saw nothing: the replica got up to 1.7 times the requests that its limit allows, and no line or metric said that it had named one.

The adapter reads Server-Limit, a Backend remembers it, logs each change, and counts the requests that it sends meanwhile; counters tell first requests from hedges and retries; /status, edges and explain show the limit. Nothing acts on it yet.

--- a/internal/ctl/edges.go
+++ b/internal/ctl/edges.go
@@ -183,6 +183,9 @@
 		if r.Ejected {
 			notes = append(notes, r.ID+" ejected")
 		}
+		if r.RateLimit != nil {
+			notes = append(notes, fmt.Sprintf("%s limited to %g/s", r.ID, r.RateLimit.PerSecond))
+		}
 	}
 	return notes
 }
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -42,7 +42,7 @@
 	"start": "start", "reload": "reload", "ready": "ready", "stop": "stop",
 	"configuration in force": "configuration", "daemons": "daemons", "evacuation": "evacuation",
 	"store lost": "store", "store regained": "store", "lines dropped": "lines",
-	"replica": "replica", "replica gone": "replica",
+	"rate limit": "rate limit", "replica": "replica", "replica gone": "replica",
 }
 
 // explain collects the lines of a request from log files; "-" is standard input.
@@ -68,7 +68,9 @@
 		return Result{Outcome: Failed, Message: fmt.Sprintf("no line of request %s in %s", id, count(len(paths), "file")),
 			Errors: []string{"it reached no instance, its lines were dropped (event \"lines dropped\"), or the log of its instance is missing"}}
 	}
-	e.Known = slices.DeleteFunc(e.Known, func(l LogLine) bool { return stateEventGroups[l.Event] == "replica" && !e.isRelevant(l) })
+	e.Known = slices.DeleteFunc(e.Known, func(l LogLine) bool {
+		return (stateEventGroups[l.Event] == "replica" || l.Event == "rate limit") && !e.isRelevant(l)
+	})
 	return Result{Outcome: OK, Message: e.conclusion(), Explanation: e}
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -70,7 +70,7 @@
 		catalog: catalog.NewStore(coldHeartbeats * s.Heartbeat),
 		store:   platform.NewStore(s.PlatformAddress, source),
 		link:    follow.NewLink(logger),
-		pool:    replica.NewPool(platform.NewReplicaClients(source).NewClient),
+		pool:    replica.NewPool(logger, platform.NewReplicaClients(source).NewClient),
 	}
 	d.settings.Store(&s)
 	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.forwardOptions(s))
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -111,7 +111,7 @@
 		}
 	})
 	r.store.SetInstances(map[string]catalog.Instance{"d1": {}})
-	pool := replica.NewPool(func(address string) replica.Client { return r.replicas[address] })
+	pool := replica.NewPool(logs.OrDiscard(nil), func(address string) replica.Client { return r.replicas[address] })
 	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, Options{
 		Location:   Location{Zone: "near", Region: "home", Regions: testRegions},
 		Shares:     Shares{Self: "d1", ColdOverage: 1, ColdSlack: 0},
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -18,7 +18,9 @@
 	scope                                 tally.Scope
 	hedges, retries, repeatsWithoutBudget tally.Counter
 	missingShards                         tally.Counter
-	latency, exchanges                    tally.Histogram
+	// toLimited counts the requests to replicas that have named a rate limit.
+	toLimited          [3]tally.Counter // by sendKind
+	latency, exchanges tally.Histogram
 
 	mu       sync.Mutex
 	answers  map[Code]tally.Counter
@@ -29,7 +31,7 @@
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 
 func newMetrics(scope tally.Scope) *metrics {
-	return &metrics{
+	m := &metrics{
 		scope:                scope,
 		hedges:               scope.Counter("hedges"),
 		retries:              scope.Counter("retries"),
@@ -40,6 +42,10 @@
 		answers:              map[Code]tally.Counter{},
 		outcomes:             map[replica.Outcome]tally.Counter{},
 	}
+	for kind := range m.toLimited {
+		m.toLimited[kind] = scope.Tagged(map[string]string{"kind": sendKind(kind).String()}).Counter("requests_to_limited_replicas")
+	}
+	return m
 }
 
 func (m *metrics) recordRequest(a Answer, took time.Duration) {
@@ -114,8 +120,8 @@
 }
 
 // logRepeat logs a hedge or a retry with the facts that led to it.
-func (r *activeRequest) logRepeat(kind string, sh *shard, c candidate, now time.Time) {
-	r.f.logger.Info().Str("event", kind).Str("request_id", r.req.AttemptID).Str("service", sh.service).
+func (r *activeRequest) logRepeat(kind sendKind, sh *shard, c candidate, now time.Time) {
+	r.f.logger.Info().Str("event", kind.String()).Str("request_id", r.req.AttemptID).Str("service", sh.service).
 		Str("replica", c.replica.ID).Dur("age", now.Sub(r.start)).Dur("expected", c.expected).Dur("cost", c.cost).
 		Str("reason", sh.reason).Msg("sent once more")
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -7,6 +7,18 @@
 	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
+// sendKind says why a request is sent to a replica.
+type sendKind int
+
+const (
+	firstSend sendKind = iota
+	hedgeSend
+	retrySend
+)
+
+// String returns the name that logs and metrics use.
+func (k sendKind) String() string { return [...]string{"first", "hedge", "retry"}[k] }
+
 // startShard starts the first exchange of a shard with one of its candidates. It
 // closes a shard without candidates.
 func (r *activeRequest) startShard(i int, list []candidate, now time.Time) {
@@ -15,13 +27,13 @@
 		sh.closed, sh.reason = true, "no replica"
 		return
 	}
-	r.sendToFirstAvailable(i, list, now)
+	r.sendToFirstAvailable(i, firstSend, list, now)
 }
 
 // sendToFirstAvailable sends to the first candidate that has a free connection and
 // cold-start capacity. If there is none, the shard waits for busyDelay. An ejected
 // replica is used only if all are ejected, not if the others are busy.
-func (r *activeRequest) sendToFirstAvailable(i int, list []candidate, now time.Time) (to candidate, sent bool) {
+func (r *activeRequest) sendToFirstAvailable(i int, kind sendKind, list []candidate, now time.Time) (to candidate, sent bool) {
 	sh := &r.shards[i]
 	for n, c := range list {
 		if c.ejected && !list[0].ejected {
@@ -32,7 +44,7 @@
 			sh.reason = reason
 			continue
 		}
-		r.send(i, c, permit, now)
+		r.send(i, kind, c, permit, now)
 		r.scheduleHedge(sh, c, list, n, now)
 		return c, true
 	}
@@ -45,7 +57,7 @@
 }
 
 // send starts one exchange. Its end arrives on r.results.
-func (r *activeRequest) send(i int, c candidate, permit *replica.Permit, now time.Time) {
+func (r *activeRequest) send(i int, kind sendKind, c candidate, permit *replica.Permit, now time.Time) {
 	sh := &r.shards[i]
 	sh.sends++
 	sh.started = true
@@ -55,6 +67,9 @@
 		sh.tried = append(sh.tried, c.replica.ID)
 	}
 	sh.lastBackend = c.backend
+	if c.backend.Limited() {
+		r.f.metrics.toLimited[kind].Inc(1)
+	}
 	request := replica.Request{
 		AttemptID: r.req.AttemptID, ReplicaID: c.replica.ID, Method: r.req.Method, URI: r.req.URI, Host: r.req.Host,
 		Header: r.req.Header, Body: r.req.Body, Deadline: r.deadline,
@@ -164,8 +179,8 @@
 			continue
 		}
 		r.f.metrics.hedges.Inc(1)
-		r.logRepeat("hedge", sh, c, now)
-		r.send(i, c, permit, now)
+		r.logRepeat(hedgeSend, sh, c, now)
+		r.send(i, hedgeSend, c, permit, now)
 		r.scheduleHedge(sh, c, list, n, now)
 		return
 	}
@@ -192,9 +207,9 @@
 		sh.retryAt = now.Add(budgetDelay)
 		return
 	}
-	if c, sent := r.sendToFirstAvailable(i, list, now); sent {
+	if c, sent := r.sendToFirstAvailable(i, retrySend, list, now); sent {
 		r.f.metrics.retries.Inc(1)
-		r.logRepeat("retry", sh, c, now)
+		r.logRepeat(retrySend, sh, c, now)
 	} else if sh.sends > 0 {
 		r.f.budget.Refund(sh.service)
 	}
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/baobabsill/baobabsill/internal/catalog"
 )
 
@@ -49,6 +51,7 @@
 	ID      string
 	Service string
 	client  Client
+	logger  *log.Logger
 
 	startedAt int64 // start time of the incarnation, in Unix milliseconds
 
@@ -65,6 +68,7 @@
 	lastUsed            time.Time // when a request was last sent, or the Backend was created
 	warmupEnd           time.Time // as the replica's answers state it
 	coldSendTimes       []time.Time
+	rateLimit           rateLimit
 }
 
 // exchange is one exchange in flight, from Acquire to the end of Send.
@@ -74,8 +78,8 @@
 	stallAge time.Duration // age at which the exchange counts as stalled
 }
 
-func newBackend(r catalog.Replica, client Client) *Backend {
-	return &Backend{ID: r.ID, Service: r.Service, startedAt: r.StartedAt, client: client, slowness: 1, lastUsed: time.Now()}
+func newBackend(logger *log.Logger, r catalog.Replica, client Client) *Backend {
+	return &Backend{ID: r.ID, Service: r.Service, startedAt: r.StartedAt, client: client, logger: logger, slowness: 1, lastUsed: time.Now()}
 }
 
 // decay moves the averages towards their neutral values, according to the time
@@ -169,6 +173,9 @@
 	e := exchange{number: number, started: now, stallAge: stallAge}
 	b.inFlight = append(b.inFlight, e)
 	b.lastUsed = now
+	if b.rateLimit.named {
+		b.rateLimit.sent++
+	}
 	return &Permit{backend: b, exchange: e}, ""
 }
 
@@ -189,6 +196,7 @@
 	if until := now.Add(r.WarmupLeft); r.WarmupLeft > 0 && until.After(b.warmupEnd) {
 		b.warmupEnd = until
 	}
+	b.observeRateLimit(now, p.exchange.started, r.RateLimit)
 	b.decay(now)
 	if r.Reset {
 		b.connRamp.recordReset(now)
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/logs"
 )
 
 // scriptedClient ends each exchange with the next of its results.
@@ -28,7 +29,9 @@
 
 func (s *scriptedClient) OpenConnection(context.Context) bool { return true }
 
-func newTestPool(c Client) *Pool { return NewPool(func(string) Client { return c }) }
+func newTestPool(c Client) *Pool {
+	return NewPool(logs.OrDiscard(nil), func(string) Client { return c })
+}
 
 var twoConnections = ConnectionLimits{MaxOpen: 2, MaxIdle: 2}
 
@@ -89,7 +92,7 @@
 // that brings the old address back.
 func TestRestartedReplicaGetsNewClient(t *testing.T) {
 	var clientAddresses []string
-	p := NewPool(func(address string) Client {
+	p := NewPool(logs.OrDiscard(nil), func(address string) Client {
 		clientAddresses = append(clientAddresses, address)
 		return &scriptedClient{}
 	})
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -60,11 +60,34 @@
 	Misdirected bool
 	// Unreachable is set if no connection to the replica could be opened.
 	Unreachable bool
+	// RateLimit is what the answer says about the replica's rate limit.
+	RateLimit RateLimit
 	// Reset is set if the replica reset a connection that had carried no earlier
 	// request, as it does when it holds too many connections.
 	Reset bool
 }
 
+// RateLimitStatement says what an answer states about the rate limit of its replica.
+type RateLimitStatement int
+
+const (
+	// RateLimitUnstated means that there is no answer, or none from which the absence
+	// of a limit follows.
+	RateLimitUnstated RateLimitStatement = iota
+	// RateLimitAbsent means that a complete answer named no limit.
+	RateLimitAbsent
+	// RateLimitNamed means that the answer named a limit.
+	RateLimitNamed
+)
+
+// RateLimit is the number of requests per second that a replica accepts from all
+// instances together, as one of its answers names it.
+type RateLimit struct {
+	Statement RateLimitStatement
+	// PerSecond is finite and not negative. It is set with RateLimitNamed.
+	PerSecond float64
+}
+
 // Reply is the complete answer of a replica, with the replica's signature of it.
 type Reply struct {
 	Status    int
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -5,12 +5,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/baobabsill/baobabsill/internal/catalog"
 )
 
 // Pool holds the Backend of each replica that the platform lists. It is safe for
 // concurrent use.
 type Pool struct {
+	logger             *log.Logger
 	newClient          NewClientFunc
 	lastExchangeNumber atomic.Uint64
 	// Latencies holds the usual latencies of exchanges.
@@ -22,8 +25,8 @@
 
 // NewPool returns an empty Pool whose backends send through clients that
 // newClient returns.
-func NewPool(newClient NewClientFunc) *Pool {
-	return &Pool{newClient: newClient, Latencies: NewLatencies(), backends: map[string]*Backend{}}
+func NewPool(logger *log.Logger, newClient NewClientFunc) *Pool {
+	return &Pool{logger: logger, newClient: newClient, Latencies: NewLatencies(), backends: map[string]*Backend{}}
 }
 
 // Backend returns the Backend of a replica and sets the limits of its
@@ -50,7 +53,7 @@
 	if old != nil {
 		old.client.CloseIdle()
 	}
-	b := newBackend(r, p.newClient(r.Address))
+	b := newBackend(p.logger, r, p.newClient(r.Address))
 	p.backends[r.ID] = b
 	return b
 }
@@ -89,6 +92,16 @@
 	Slowness float64 `json:"slowness"`
 	Failures float64 `json:"failures"`
 	Ejected  bool    `json:"ejected"`
+	// RateLimit is nil if the replica has named no limit.
+	RateLimit *RateLimitReport `json:"rate_limit,omitempty"`
+}
+
+// RateLimitReport is the rate limit of a replica. PerSecond holds for all instances
+// together; Sent is the number of requests that this instance has sent since the limit
+// is in force.
+type RateLimitReport struct {
+	PerSecond float64 `json:"per_second"`
+	Sent      int     `json:"sent"`
 }
 
 // Reports returns the state of all backends, in no particular order.
@@ -98,8 +111,19 @@
 	list := make([]Report, 0, len(p.backends))
 	for _, b := range p.backends {
 		b.mu.Lock()
-		list = append(list, Report{b.ID, b.Service, len(b.inFlight), b.slowness, b.failureRate, now.Before(b.ejectedUntil)})
+		list = append(list, b.report(now))
 		b.mu.Unlock()
 	}
 	return list
 }
+
+// report returns the state of the Backend. b.mu is held.
+func (b *Backend) report(now time.Time) Report {
+	r := Report{
+		ID: b.ID, Service: b.Service, InFlight: len(b.inFlight), Slowness: b.slowness, Failures: b.failureRate, Ejected: now.Before(b.ejectedUntil),
+	}
+	if b.rateLimit.named {
+		r.RateLimit = &RateLimitReport{PerSecond: b.rateLimit.perSecond, Sent: b.rateLimit.sent}
+	}
+	return r
+}
