Keep the rate limit that a replica names, over all instances

Ruled out: repeats as the cause (23 of 213 requests of the worst 4 s are hedges); ruled out as a fix: each instance keeping the limit for itself (one of eight sends half of what is allowed to all).

Change: each of the first k instances in the replica's rendezvous order takes an equal share as a token bucket; k is bounded such that all buckets together stay within the burst, also with 77 instances and limits below one a second. First requests, hedges and retries all take from it. The limit is lifted only by a complete answer to an exchange that started after the last one that named it. A request that no replica admits in time is refused before anything is sent, with a Retry-After that is one interval of the limit later for each refused caller.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -45,12 +45,17 @@
 	// adds a penalty for recent failures and stalls; the lowest cost is preferred.
 	cost, loadedLatency time.Duration
 	ejected             bool
+	rateShare           replica.RateShare
+	// rateLimitedUntil is the earliest time at which the replica's rate limit admits
+	// a request; zero if it admits one now. The wait is part of cost and loadedLatency.
+	rateLimitedUntil time.Time
 }
 
 // candidates returns the replicas of a service that may get a request, in order
 // of cost. Ejected replicas come last.
 func (f *Forwarder) candidates(route *catalog.Route, service string, now time.Time) []candidate {
-	usable := f.currentView().services[service]
+	view := f.currentView()
+	usable := view.services[service]
 	list := make([]candidate, 0, len(usable))
 	for _, s := range usable {
 		r := s.replica
@@ -67,6 +72,13 @@
 		costFactor, loadFactor := c.backend.Cost(now)
 		c.cost, c.loadedLatency = time.Duration(costFactor*float64(c.expected)), time.Duration(loadFactor*float64(c.expected))
 		c.ejected = c.backend.Ejected(now)
+		if c.backend.Limited() {
+			c.rateShare = view.rateShare(r)
+			if c.rateLimitedUntil = c.backend.RateLimitedUntil(now, c.rateShare); !c.rateLimitedUntil.IsZero() {
+				wait := c.rateLimitedUntil.Sub(now)
+				c.cost, c.loadedLatency = c.cost+wait, c.loadedLatency+wait
+			}
+		}
 		list = append(list, c)
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -56,7 +56,7 @@
 func (r *activeRequest) refuseIfNoCapacity(now time.Time) (Answer, bool) {
 	sh := &r.shards[0]
 	if sh.inFlight == 0 && !sh.mayHaveRun && now.Sub(r.start) > r.route.Objective/4 {
-		return refusal(sh.reason, RetryAfter(r.route.Objective)), true
+		return r.refuse(sh.reason), true
 	}
 	return Answer{}, false
 }
@@ -85,7 +85,7 @@
 	}
 	switch {
 	case !mayHaveRun:
-		return refusal(reason, RetryAfter(r.route.Objective))
+		return r.refuse(reason)
 	case !now.Before(r.deadline):
 		return Answer{Code: TimedOut, Reason: reason, MissingDetails: r.describeMissing()}
 	}
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -24,14 +24,16 @@
 	id     string
 	answer func(n int, request replica.Request) (time.Duration, replica.Result)
 
-	mu    sync.Mutex
-	times []time.Time // starts of the exchanges
+	mu       sync.Mutex
+	times    []time.Time // starts of the exchanges
+	requests []replica.Request
 }
 
 func (f *fakeReplica) Send(ctx context.Context, request replica.Request) replica.Result {
 	f.mu.Lock()
 	n := len(f.times)
 	f.times = append(f.times, time.Now())
+	f.requests = append(f.requests, request)
 	f.mu.Unlock()
 	took, res := f.answer(n, request)
 	select {
@@ -56,9 +58,10 @@
 
 // successResult returns a complete reply with status 200, signed for a replica.
 func successResult(id, body string) replica.Result {
-	return replica.Result{Outcome: replica.Complete, Reply: replica.Reply{
-		Status: http.StatusOK, Body: []byte(body), Signature: "sig-" + id,
-	}}
+	return replica.Result{
+		Outcome: replica.Complete, RateLimit: replica.RateLimit{Statement: replica.RateLimitAbsent},
+		Reply: replica.Reply{Status: http.StatusOK, Body: []byte(body), Signature: "sig-" + id},
+	}
 }
 
 // answerAfter makes the replica answer each exchange with success after took.
@@ -89,7 +92,13 @@
 // newHarness returns a harness with replicas named SERVICE/ZONE. They answer after
 // 10 ms in zone near and after 40 ms in zone far.
 func newHarness(names ...string) *harness {
-	r := &harness{store: catalog.NewStore(time.Second), replicas: map[string]*fakeReplica{}}
+	return newInstanceHarness("d1", map[string]catalog.Instance{"d1": {}}, map[string]*fakeReplica{}, names...)
+}
+
+// newInstanceHarness returns the harness of the instance self of several that share
+// the replicas. Those of names that are not in replicas are added.
+func newInstanceHarness(self string, instances map[string]catalog.Instance, replicas map[string]*fakeReplica, names ...string) *harness {
+	r := &harness{store: catalog.NewStore(time.Second), replicas: replicas}
 	list := map[string]catalog.Replica{}
 	for _, name := range names {
 		var service, zone string
@@ -102,7 +111,9 @@
 		if zone == "far" {
 			took = 40 * time.Millisecond
 		}
-		r.replicas[name] = (&fakeReplica{id: name}).answerAfter(took)
+		if r.replicas[name] == nil {
+			r.replicas[name] = (&fakeReplica{id: name}).answerAfter(took)
+		}
 		list[name] = catalog.Replica{ID: name, Service: service, Address: name, Zone: zone, Slots: 4}
 	}
 	r.store.UpdateReplicas(func(replicas map[string]catalog.Replica) {
@@ -110,11 +121,11 @@
 			replicas[id] = rep
 		}
 	})
-	r.store.SetInstances(map[string]catalog.Instance{"d1": {}})
+	r.store.SetInstances(instances)
 	pool := replica.NewPool(logs.OrDiscard(nil), func(address string) replica.Client { return r.replicas[address] })
 	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, Options{
 		Location:   Location{Zone: "near", Region: "home", Regions: testRegions},
-		Shares:     Shares{Self: "d1", ColdOverage: 1, ColdSlack: 0},
+		Shares:     Shares{Self: self, ColdOverage: 1, ColdSlack: 0},
 		RetryRatio: 0.2, RetrySlack: 20, MaxInFlight: 1000,
 	})
 	return r
@@ -142,9 +153,14 @@
 
 // sendRequest serves one request and returns its answer and latency.
 func (r *harness) sendRequest(ctx context.Context) (Answer, time.Duration) {
+	return r.sendAttempt(ctx, "a1")
+}
+
+// sendAttempt serves one request with an attempt ID and returns its answer and latency.
+func (r *harness) sendAttempt(ctx context.Context, id string) (Answer, time.Duration) {
 	start := time.Now()
 	a := r.Serve(ctx, &Request{
-		AttemptID: "a1", Method: "GET", URI: "/p/x", Path: "/p/x", Host: "h", Arrived: start, CallerTimeout: 2 * time.Second,
+		AttemptID: id, Method: "GET", URI: "/p/x", Path: "/p/x", Host: "h", Arrived: start, CallerTimeout: 2 * time.Second,
 	})
 	return a, time.Since(start)
 }
--- /dev/null
+++ b/internal/forward/limited.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabsill/baobabsill/internal/replica"
+)
+
+// reasonRateLimit is the reason of shards and refusals for which the rate limits of the
+// replicas leave no room.
+const reasonRateLimit = "rate limit"
+
+// latestStart is the latest time at which an exchange of a shard may start that waits
+// for the rate limit of a replica.
+func (r *activeRequest) latestStart(sh *shard) time.Time {
+	switch {
+	case r.route.IsScatter():
+		return r.lateAnswerDeadline()
+	case sh.mayHaveRun:
+		return r.deadline
+	}
+	return earlier(r.start.Add(r.route.Objective/4), r.deadline)
+}
+
+// retryTime returns when a replica that denied a request is asked again.
+func retryTime(d replica.Denial, now time.Time) time.Time {
+	if at := now.Add(busyDelay); !d.Until.After(at) {
+		return at
+	}
+	return d.Until
+}
+
+// noteLimited records that the rate limit of a candidate admits nothing until a time.
+func (sh *shard) noteLimited(c candidate, until time.Time) {
+	if sh.limitedBy == nil || until.Before(sh.limitedBy.rateLimitedUntil) {
+		c.rateLimitedUntil = until
+		sh.limitedBy = &c
+	}
+}
+
+// closeUnservableShards closes the shards that have no usable replica, or only replicas
+// whose rate limits admit nothing in time. It returns the number of the other shards.
+func (r *activeRequest) closeUnservableShards(now time.Time) (servable int) {
+	services := r.f.currentView().services
+	for i := range r.shards {
+		sh := &r.shards[i]
+		allowed := func(s usableReplica) bool { return r.route.AllowsRegion(s.region) }
+		unlimited := func(s usableReplica) bool { return allowed(s) && !s.backend.Limited() }
+		switch {
+		case !slices.ContainsFunc(services[sh.service], allowed):
+			sh.closed, sh.reason = true, "no replica"
+		case slices.ContainsFunc(services[sh.service], unlimited):
+			servable++
+		default:
+			list := r.f.candidates(r.route, sh.service, now)
+			if !r.allLimited(sh, list) {
+				servable++
+				continue
+			}
+			sh.closed, sh.reason = true, reasonRateLimit
+			for _, c := range list {
+				sh.noteLimited(c, c.rateLimitedUntil)
+			}
+		}
+	}
+	return servable
+}
+
+// allLimited reports whether the rate limits of all candidates admit nothing until after
+// latestStart. It is false without candidates.
+func (r *activeRequest) allLimited(sh *shard, list []candidate) bool {
+	latest := r.latestStart(sh)
+	return len(list) > 0 && !slices.ContainsFunc(list, func(c candidate) bool { return !c.rateLimitedUntil.After(latest) })
+}
+
+// refuse refuses the request. If rate limits are the reason, the caller is told to come
+// back when they admit the shards that the answer needs.
+func (r *activeRequest) refuse(reason string) Answer {
+	delay := RetryAfter(r.route.Objective)
+	var limited []*candidate
+	open := 0 // shards that need not wait
+	for i := range r.shards {
+		switch sh := &r.shards[i]; {
+		case sh.limitedBy != nil:
+			limited = append(limited, sh.limitedBy)
+		case !sh.closed:
+			open++
+		}
+	}
+	slices.SortFunc(limited, func(a, b *candidate) int { return a.rateLimitedUntil.Compare(b.rateLimitedUntil) })
+	needed := requiredShards(len(r.shards), r.route) - open
+	if needed < 1 || needed > len(limited) {
+		return refusal(reason, delay)
+	}
+	last := limited[needed-1]
+	return refusal(reasonRateLimit, max(delay, last.backend.RetryAfter(time.Now(), last.rateShare)))
+}
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -33,6 +33,9 @@
 			if latency, late := r.shardLatency(list, now); late {
 				overloaded = append(overloaded, overloadedShard{i, latency.Seconds() * (1 + costSpread*rand.Float64())})
 				sh.closed, sh.reason = true, "overloaded"
+				if !slices.ContainsFunc(list, func(c candidate) bool { return c.rateLimitedUntil.IsZero() }) {
+					sh.reason = reasonRateLimit
+				}
 				continue
 			}
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -58,6 +58,9 @@
 	hedgeAt          time.Time // zero if no hedge is scheduled
 	retryAt          time.Time // next attempt to start an exchange; zero if none is scheduled
 	lastBackend      *replica.Backend
+	// limitedBy is, of the replicas whose rate limits left no room for the shard, the
+	// one that will admit a request first.
+	limitedBy *candidate
 }
 
 // exchangeResult reports the end of an exchange to the goroutine of its request.
@@ -139,21 +142,13 @@
 }
 
 // refuseIfUnavailable refuses a request, before anything is sent, if too few of its
-// shards have a usable replica.
+// shards have a usable replica that admits the request in time.
 func (r *activeRequest) refuseIfUnavailable() (Answer, bool) {
-	services, available := r.f.currentView().services, 0
-	for i := range r.shards {
-		sh := &r.shards[i]
-		if slices.ContainsFunc(services[sh.service], func(s usableReplica) bool { return r.route.AllowsRegion(s.region) }) {
-			available++
-		} else {
-			sh.closed, sh.reason = true, "no replica"
-		}
-	}
+	available := r.closeUnservableShards(time.Now())
 	if available > 0 && coversEnough(available, len(r.shards), r.route) {
 		return Answer{}, false
 	}
-	return refusal("no replica", RetryAfter(r.route.Objective)), true
+	return r.refuse("no replica"), true
 }
 
 // requiredShards returns the number of shards, of total, that an answer must cover.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,29 +31,49 @@
 }
 
 // sendToFirstAvailable sends to the first candidate that has a free connection and
-// cold-start capacity. If there is none, the shard waits for busyDelay. An ejected
-// replica is used only if all are ejected, not if the others are busy.
+// cold-start capacity, and whose rate limit admits the request. If there is none, the
+// shard waits, or is closed if rate limits admit nothing until latestStart. An ejected
+// replica is used only if all are ejected, not if the others are busy; if the others are
+// so limited, it is used once.
 func (r *activeRequest) sendToFirstAvailable(i int, kind sendKind, list []candidate, now time.Time) (to candidate, sent bool) {
 	sh := &r.shards[i]
+	sh.limitedBy = nil
+	latest := r.latestStart(sh)
+	var next time.Time // when the first candidate is asked again
+	limited := true    // no candidate admits the request in time
 	for n, c := range list {
-		if c.ejected && !list[0].ejected {
+		if c.ejected && !list[0].ejected && (!limited || c.backend == sh.lastBackend) {
 			break
 		}
-		permit, reason := r.acquirePermit(c, now)
+		permit, denial := r.acquirePermit(c, now)
 		if permit == nil {
-			sh.reason = reason
+			sh.reason = denial.Reason
+			if at := retryTime(denial, now); next.IsZero() || at.Before(next) {
+				next = at
+			}
+			if !denial.Until.IsZero() {
+				sh.noteLimited(c, denial.Until)
+			}
+			limited = limited && denial.Until.After(latest)
 			continue
 		}
 		r.send(i, kind, c, permit, now)
 		r.scheduleHedge(sh, c, list, n, now)
 		return c, true
 	}
-	sh.retryAt = now.Add(busyDelay)
+	if limited {
+		sh.closed = true
+	} else {
+		sh.retryAt = next
+	}
 	return candidate{}, false
 }
 
-func (r *activeRequest) acquirePermit(c candidate, now time.Time) (*replica.Permit, string) {
-	return c.backend.Acquire(now, r.f.pool.NextExchangeNumber(), c.replica.ColdUntil, c.coldLimit, c.expected)
+func (r *activeRequest) acquirePermit(c candidate, now time.Time) (*replica.Permit, replica.Denial) {
+	return c.backend.Acquire(now, replica.Terms{
+		Number: r.f.pool.NextExchangeNumber(), Expected: c.expected,
+		ColdUntil: c.replica.ColdUntil, ColdLimit: c.coldLimit, RateShare: c.rateShare,
+	})
 }
 
 // send starts one exchange. Its end arrives on r.results.
@@ -173,9 +193,13 @@
 		sh.hedgeAt = now.Add(budgetDelay)
 		return
 	}
+	var next time.Time
 	for n, c := range list {
-		permit, _ := r.acquirePermit(c, now)
+		permit, denial := r.acquirePermit(c, now)
 		if permit == nil {
+			if at := retryTime(denial, now); next.IsZero() || at.Before(next) {
+				next = at
+			}
 			continue
 		}
 		r.f.metrics.hedges.Inc(1)
@@ -185,7 +209,7 @@
 		return
 	}
 	r.f.budget.Refund(sh.service)
-	sh.hedgeAt = now.Add(busyDelay)
+	sh.hedgeAt = next
 }
 
 // retry starts another exchange after the earlier ones of a shard have failed, or
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -13,6 +13,7 @@
 type view struct {
 	snap     *catalog.Snapshot
 	options  *Options
+	ranks    ranking
 	services map[string][]usableReplica // by service; only those that routes use
 }
 
@@ -45,6 +46,7 @@
 	}
 	shares := options.Shares
 	ranks := newRanking(shares.Self, snap.InstanceNames)
+	v.ranks = ranks
 	for name := range snap.Config.RouteByService() {
 		var list []usableReplica
 		for _, r := range snap.Replicas(name) {
@@ -61,6 +63,11 @@
 	return v
 }
 
+// rateShare returns this instance's place among the senders of a replica.
+func (v *view) rateShare(r catalog.Replica) replica.RateShare {
+	return replica.RateShare{Rank: v.ranks.countBefore(r.ID), Senders: v.options.Shares.senders(v.snap, r)}
+}
+
 // ranking ranks the instances for each replica by rendezvous hashing.
 type ranking struct {
 	ownHash uint64
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -53,7 +54,8 @@
 	client  Client
 	logger  *log.Logger
 
-	startedAt int64 // start time of the incarnation, in Unix milliseconds
+	limited   atomic.Bool // a rate limit is in force; mirrors rateLimit
+	startedAt int64       // start time of the incarnation, in Unix milliseconds
 
 	mu                  sync.Mutex
 	connections         ConnectionLimits
@@ -147,36 +149,61 @@
 type Permit struct {
 	backend  *Backend
 	exchange exchange
+	limited  bool // counted against the replica's rate limit
 }
 
-// Acquire returns a permit for the exchange of this number, or the reason why
-// nothing may be sent now. A replica that is cold until coldUntil gets at most
-// coldLimit requests in any second from this instance. expected is the usual
-// latency of the exchange.
-func (b *Backend) Acquire(now time.Time, number uint64, coldUntil time.Time, coldLimit int, expected time.Duration) (*Permit, string) {
+// Terms are the conditions for one request to a replica.
+type Terms struct {
+	// Number is the number of the exchange.
+	Number uint64
+	// Expected is the usual latency of the exchange.
+	Expected time.Duration
+	// A replica that is cold until ColdUntil gets at most ColdLimit requests in any
+	// second from this instance.
+	ColdUntil time.Time
+	ColdLimit int
+	// RateShare divides a rate limit that the replica has named.
+	RateShare RateShare
+}
+
+// Denial says why nothing may be sent to a replica now.
+type Denial struct {
+	Reason string
+	// Until is set if the replica's rate limit is the reason: the earliest time at
+	// which it may admit a request.
+	Until time.Time
+}
+
+// Acquire returns a permit for one request, or a denial.
+func (b *Backend) Acquire(now time.Time, t Terms) (*Permit, Denial) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.inFlight) >= b.connRamp.limit(b.connections.MaxOpen) {
 		if b.connRamp.established < b.connections.MaxOpen && b.connRamp.tryStart(now) {
 			go b.openConnection(true)
 		}
-		return nil, "connections"
+		return nil, Denial{Reason: "connections"}
 	}
-	if now.Before(coldUntil) || now.Before(b.warmupEnd) {
+	if b.rateLimit.named {
+		if until := b.rateLimit.nextAt(now, t.RateShare); until.After(now) {
+			return nil, Denial{Reason: "rate limit", Until: until}
+		}
+	}
+	if now.Before(t.ColdUntil) || now.Before(b.warmupEnd) {
 		b.coldSendTimes = slices.DeleteFunc(b.coldSendTimes, func(t time.Time) bool { return now.Sub(t) > coldWindow })
-		if len(b.coldSendTimes) >= coldLimit {
-			return nil, "cold"
+		if len(b.coldSendTimes) >= t.ColdLimit {
+			return nil, Denial{Reason: "cold"}
 		}
 		b.coldSendTimes = append(b.coldSendTimes, now)
 	}
-	stallAge := max(time.Duration(stallFactor*float64(expected)), minStallAge)
-	e := exchange{number: number, started: now, stallAge: stallAge}
+	stallAge := max(time.Duration(stallFactor*float64(t.Expected)), minStallAge)
+	e := exchange{number: t.Number, started: now, stallAge: stallAge}
 	b.inFlight = append(b.inFlight, e)
 	b.lastUsed = now
 	if b.rateLimit.named {
-		b.rateLimit.sent++
+		b.rateLimit.take(now, t.RateShare)
 	}
-	return &Permit{backend: b, exchange: e}, ""
+	return &Permit{backend: b, exchange: e, limited: b.rateLimit.named}, Denial{}
 }
 
 // Send runs the exchange, records its result with the Backend, and returns the
@@ -196,6 +223,9 @@
 	if until := now.Add(r.WarmupLeft); r.WarmupLeft > 0 && until.After(b.warmupEnd) {
 		b.warmupEnd = until
 	}
+	if r.Outcome == NotSent && p.limited {
+		b.rateLimit.refund()
+	}
 	b.observeRateLimit(now, p.exchange.started, r.RateLimit)
 	b.decay(now)
 	if r.Reset {
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -41,9 +41,9 @@
 	t.Helper()
 	b := p.Backend(r, twoConnections)
 	b.connRamp.established = 2
-	permit, reason := b.Acquire(time.Now(), p.NextExchangeNumber(), time.Time{}, 1, time.Millisecond)
+	permit, denial := b.Acquire(time.Now(), Terms{Number: p.NextExchangeNumber(), Expected: time.Millisecond})
 	if permit == nil {
-		t.Fatalf("no permit: %s", reason)
+		t.Fatalf("no permit: %s", denial.Reason)
 	}
 	permit.Send(t.Context(), Request{}, time.Millisecond)
 }
@@ -75,7 +75,7 @@
 	sent := 0
 	for ms := range 3000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
-		if permit, _ := b.Acquire(now, uint64(ms), cold, 5, time.Millisecond); permit != nil {
+		if permit, _ := b.Acquire(now, Terms{Number: uint64(ms), ColdUntil: cold, ColdLimit: 5, Expected: time.Millisecond}); permit != nil {
 			sent++
 		}
 		if ms < 1000 && sent > 5 {
--- a/internal/replica/connramp_test.go
+++ b/internal/replica/connramp_test.go
@@ -31,9 +31,9 @@
 func acquireAll(b *Backend) (permits int) {
 	for {
 		synctest.Wait()
-		if p, _ := b.Acquire(time.Now(), uint64(permits), time.Time{}, 1, time.Millisecond); p == nil {
+		if p, _ := b.Acquire(time.Now(), Terms{Number: uint64(permits), Expected: time.Millisecond}); p == nil {
 			synctest.Wait()
-			if p, _ = b.Acquire(time.Now(), uint64(permits), time.Time{}, 1, time.Millisecond); p == nil {
+			if p, _ = b.Acquire(time.Now(), Terms{Number: uint64(permits), Expected: time.Millisecond}); p == nil {
 				return permits
 			}
 		}
@@ -90,9 +90,9 @@
 		b := newTestPool(c).Backend(listedReplica, twoConnections)
 		b.Preconnect(time.Now())
 		synctest.Wait()
-		p, _ := b.Acquire(time.Now(), 1, time.Time{}, 1, time.Millisecond)
+		p, _ := b.Acquire(time.Now(), Terms{Number: 1, Expected: time.Millisecond})
 		p.Send(t.Context(), Request{}, time.Millisecond)
-		if p, _ = b.Acquire(time.Now(), 2, time.Time{}, 1, time.Millisecond); p != nil {
+		if p, _ = b.Acquire(time.Now(), Terms{Number: 2, Expected: time.Millisecond}); p != nil {
 			t.Error("a request is sent though the replica reset the only connection")
 		}
 	})
@@ -120,10 +120,10 @@
 		if c.opened != 2 {
 			t.Errorf("%d connections opened, want 2 after one was closed", c.opened)
 		}
-		if p, _ := b.Acquire(time.Now(), 1, time.Time{}, 1, time.Millisecond); p == nil {
+		if p, _ := b.Acquire(time.Now(), Terms{Number: 1, Expected: time.Millisecond}); p == nil {
 			t.Error("no request may use the established connection")
 		}
-		if p, _ := b.Acquire(time.Now(), 2, time.Time{}, 1, time.Millisecond); p != nil {
+		if p, _ := b.Acquire(time.Now(), Terms{Number: 2, Expected: time.Millisecond}); p != nil {
 			t.Error("two requests may use the one established connection")
 		}
 		synctest.Wait()
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -1,14 +1,54 @@
 package replica
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
-// rateLimit is the rate limit that a replica has named in its answers. It is in force
-// while named is set. The Backend's lock guards all fields.
+const (
+	// minRatePerSecond is the rate over all instances at which a replica is tried that
+	// names a lower limit, zero included. Its answers alone can lift the limit.
+	minRatePerSecond = 0.25
+	// burstTime and burstBase bound the requests that all instances together may send
+	// at once: burstTime of the limit, plus burstBase.
+	burstTime = time.Second
+	burstBase = 2
+	// probeShare is the part of the limit that the instances without a share use, to
+	// notice that the limit is lifted.
+	probeShare = 0.2
+	// probeWindow is how long the permission for such a request holds. It lapses
+	// unused, so that instances without traffic do not all send at once later.
+	probeWindow = time.Second
+	// maxRetryOffer bounds how far ahead refused callers are told to come back.
+	maxRetryOffer = 5 * time.Second
+)
+
+// RateShare is the place of this instance among those that send to a replica.
+type RateShare struct {
+	// Rank is the number of instances that come before this one for the replica.
+	Rank int
+	// Senders is the number of instances that send to the replica.
+	Senders int
+}
+
+// rateLimit is the rate limit that a replica has named in its answers, and the part of
+// it that this instance has left. It is in force while named is set.
+//
+// The instances keep the limit without messages: each of the first ones in the order
+// of the replica has an equal share, as a token bucket. Their number is limited such
+// that every bucket holds at least one request and all buckets together at most the
+// burst. The others send a request now and then, see probeShare. The Backend's lock
+// guards all fields.
 type rateLimit struct {
 	named     bool
 	perSecond float64   // over all instances
 	namedAt   time.Time // when the last answer that named it arrived
 	sent      int       // requests sent by this instance while it is in force
+
+	tokens     float64 // requests that may be sent now
+	refilledAt time.Time
+	probeAt    time.Time // start of the next probeWindow; zero until one is drawn
+	offered    time.Time // latest time at which a refused caller was told to come back
 }
 
 // observe takes in what an answer states. started is when its exchange started, now
@@ -30,12 +70,87 @@
 		if l.named && stated.PerSecond > l.perSecond && !current {
 			return false
 		}
+		if !l.named {
+			// Starts empty: other instances may have sent the share until now.
+			l.refilledAt = now
+		}
 		changed = !l.named || stated.PerSecond != l.perSecond
 		l.named, l.perSecond, l.namedAt = true, stated.PerSecond, now
 	}
 	return changed
 }
 
+// rate returns the requests per second that all instances together send.
+func (l *rateLimit) rate() float64 { return max(l.perSecond, minRatePerSecond) }
+
+// bucket returns the share of this instance, in requests per second, and the size of
+// its bucket. Both are 0 if it has no share.
+func (l *rateLimit) bucket(share RateShare) (perSecond, size float64) {
+	burst := l.rate()*burstTime.Seconds() + burstBase
+	holders := min(burst, float64(max(share.Senders, 1)))
+	holders = float64(int(holders))
+	if float64(share.Rank) >= holders {
+		return 0, 0
+	}
+	return l.rate() / holders, burst / holders
+}
+
+// nextAt returns the earliest time at which the limit admits a request; now or earlier
+// if it admits one now.
+func (l *rateLimit) nextAt(now time.Time, share RateShare) time.Time {
+	perSecond, size := l.bucket(share)
+	if perSecond == 0 {
+		if l.probeAt.IsZero() || now.After(l.probeAt.Add(probeWindow)) {
+			l.drawProbe(now, share)
+		}
+		return l.probeAt
+	}
+	l.tokens = min(l.tokens+perSecond*now.Sub(l.refilledAt).Seconds(), size)
+	l.refilledAt = now
+	return now.Add(secondsToDuration(max(1-l.tokens, 0) / perSecond))
+}
+
+// drawProbe sets the next time at which an instance without a share may send.
+func (l *rateLimit) drawProbe(now time.Time, share RateShare) {
+	mean := float64(share.Senders) / (probeShare * l.rate())
+	l.probeAt = now.Add(secondsToDuration(mean * (0.5 + rand.Float64())))
+}
+
+// take counts a request that nextAt has admitted.
+func (l *rateLimit) take(now time.Time, share RateShare) {
+	l.sent++
+	if perSecond, _ := l.bucket(share); perSecond == 0 {
+		l.drawProbe(now, share)
+		return
+	}
+	l.tokens--
+}
+
+// refund gives back a request that was counted but not sent.
+func (l *rateLimit) refund() {
+	l.sent--
+	l.tokens++
+}
+
+// retryAfter returns the delay after which a refused caller may come back. Each gets
+// a later one than the caller before, as far apart as the limit admits requests.
+func (l *rateLimit) retryAfter(now time.Time, share RateShare) time.Duration {
+	perSecond, _ := l.bucket(share)
+	next := l.nextAt(now, share)
+	if perSecond == 0 {
+		// Another instance, which the caller may reach next, admits the request.
+		perSecond, next = l.rate(), now
+	}
+	if after := l.offered.Add(secondsToDuration(1 / perSecond)); after.After(next) {
+		next = after
+	}
+	if next.Sub(now) > maxRetryOffer {
+		return maxRetryOffer
+	}
+	l.offered = next
+	return next.Sub(now)
+}
+
 // observeRateLimit takes in what an answer states about the rate limit, and logs a
 // change. b.mu is held.
 func (b *Backend) observeRateLimit(now, started time.Time, stated RateLimit) {
@@ -43,6 +158,7 @@
 	if !b.rateLimit.observe(now, started, stated) {
 		return
 	}
+	b.limited.Store(b.rateLimit.named)
 	e := b.logger.Info().Str("event", "rate limit").Str("replica", b.ID).Str("service", b.Service).Bool("limited", b.rateLimit.named)
 	if b.rateLimit.named {
 		e = e.Float64("per_second", b.rateLimit.perSecond)
@@ -53,8 +169,29 @@
 }
 
 // Limited reports whether a rate limit of the replica is in force.
-func (b *Backend) Limited() bool {
+func (b *Backend) Limited() bool { return b.limited.Load() }
+
+// RateLimitedUntil returns the earliest time at which the replica's rate limit admits
+// a request; the zero time if it admits one now.
+func (b *Backend) RateLimitedUntil(now time.Time, share RateShare) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.rateLimit.named {
+		return time.Time{}
+	}
+	if at := b.rateLimit.nextAt(now, share); at.After(now) {
+		return at
+	}
+	return time.Time{}
+}
+
+// RetryAfter returns the delay after which a caller may come back that was refused
+// because of the replica's rate limit; 0 if none is in force.
+func (b *Backend) RetryAfter(now time.Time, share RateShare) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.rateLimit.named
+	if !b.rateLimit.named {
+		return 0
+	}
+	return b.rateLimit.retryAfter(now, share)
 }
--- /dev/null
+++ b/internal/replica/ratelimit_test.go
@@ -0,0 +1,42 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+// Answers arrive out of order. Guards against a limit that an answer from before it
+// lifts or raises, and against one that is missed because its answer came late.
+func TestLateAnswersDoNotLiftTheRateLimit(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	named := func(perSecond float64) RateLimit { return RateLimit{RateLimitNamed, perSecond} }
+	absent, unstated := RateLimit{Statement: RateLimitAbsent}, RateLimit{}
+	type answer struct {
+		started, arrived int
+		stated           RateLimit
+	}
+	cases := map[string]struct {
+		answers []answer
+		limited bool
+		want    float64
+	}{
+		"named":                      {[]answer{{1, 2, named(8)}}, true, 8},
+		"lifted":                     {[]answer{{1, 2, named(8)}, {3, 4, absent}}, false, 0},
+		"not lifted by earlier":      {[]answer{{3, 4, named(8)}, {2, 5, absent}}, true, 8},
+		"not lifted by rejection":    {[]answer{{1, 2, named(8)}, {3, 4, unstated}}, true, 8},
+		"lowered by late answer":     {[]answer{{3, 4, named(8)}, {2, 5, named(5)}}, true, 5},
+		"not raised by late answer":  {[]answer{{3, 4, named(8)}, {2, 5, named(20)}}, true, 8},
+		"raised":                     {[]answer{{1, 2, named(8)}, {3, 4, named(20)}}, true, 20},
+		"named by late answer again": {[]answer{{1, 2, named(8)}, {3, 4, absent}, {1, 5, named(8)}}, true, 8},
+	}
+	for name, c := range cases {
+		var l rateLimit
+		for _, a := range c.answers {
+			l.observe(at(a.arrived), at(a.started), a.stated)
+		}
+		if l.named != c.limited || l.perSecond != c.want {
+			t.Errorf("%s: limited %t to %g, want %t to %g", name, l.named, l.perSecond, c.limited, c.want)
+		}
+	}
+}
