Remember the rate limit of a replica whose entry lapsed

While the store is away, entries lapse and come back after it. The Backend went with the entry, and the limit with it: each instance then sent to the replica again until it had an answer. With 77 instances that alone is more than a limit of 8 a second allows in 4 s.

The pool keeps the limit of a delisted incarnation for a minute. TestRateLimitOutlivesTheListing failed before the change.

--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,12 +22,26 @@
 
 	mu       sync.RWMutex
 	backends map[string]*Backend
+	delisted map[string]delistedLimit // by replica ID; only of limited replicas
 }
 
+// delistedLimit is the rate limit of a replica that is no longer listed. Entries lapse
+// while the store is away; the replica is listed again soon after, and its limit then
+// still holds.
+type delistedLimit struct {
+	startedAt int64 // of the incarnation, as in Backend
+	limit     rateLimit
+	removedAt time.Time
+}
+
+// keepDelistedLimit is how long the rate limit of a replica that is no longer listed is
+// remembered. It is longer than most outages of the store.
+const keepDelistedLimit = time.Minute
+
 // NewPool returns an empty Pool whose backends send through clients that
 // newClient returns.
 func NewPool(logger *log.Logger, newClient NewClientFunc) *Pool {
-	return &Pool{logger: logger, newClient: newClient, Latencies: NewLatencies(), backends: map[string]*Backend{}}
+	return &Pool{logger: logger, newClient: newClient, Latencies: NewLatencies(), backends: map[string]*Backend{}, delisted: map[string]delistedLimit{}}
 }
 
 // Backend returns the Backend of a replica and sets the limits of its
@@ -54,6 +69,11 @@
 		old.client.CloseIdle()
 	}
 	b := newBackend(p.logger, r, p.newClient(r.Address))
+	if d, limited := p.delisted[r.ID]; limited && d.startedAt == r.StartedAt {
+		b.rateLimit = d.limit
+		b.limited.Store(true)
+	}
+	delete(p.delisted, r.ID)
 	p.backends[r.ID] = b
 	return b
 }
@@ -65,12 +85,17 @@
 func (p *Pool) RemoveUnlisted(snap *catalog.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for id, b := range p.backends {
 		if _, listed := snap.Replica(id); !listed {
 			b.client.CloseIdle()
 			delete(p.backends, id)
+			if limit, limited := b.currentRateLimit(); limited {
+				p.delisted[id] = delistedLimit{b.startedAt, limit, now}
+			}
 		}
 	}
+	maps.DeleteFunc(p.delisted, func(_ string, d delistedLimit) bool { return now.Sub(d.removedAt) > keepDelistedLimit })
 }
 
 // Close closes all idle connections.
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -168,6 +168,13 @@
 	e.Msg("replica named, changed or lifted its rate limit")
 }
 
+// currentRateLimit returns the rate limit in force, if any.
+func (b *Backend) currentRateLimit() (limit rateLimit, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rateLimit, b.rateLimit.named
+}
+
 // Limited reports whether a rate limit of the replica is in force.
 func (b *Backend) Limited() bool { return b.limited.Load() }
 
--- a/internal/replica/ratelimit_test.go
+++ b/internal/replica/ratelimit_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/baobabsill/baobabsill/internal/catalog"
 )
 
 // Answers arrive out of order. Guards against a limit that an answer from before it
@@ -40,3 +42,22 @@
 		}
 	}
 }
+
+// Entries of replicas lapse while the store is away and come back after it. Guards
+// against a limit that is forgotten meanwhile: all instances would then send to the
+// replica again until each has an answer. A later incarnation starts without it.
+func TestRateLimitOutlivesTheListing(t *testing.T) {
+	named := Result{Outcome: NotRun, RateLimit: RateLimit{RateLimitNamed, 8}}
+	p := newTestPool(&scriptedClient{results: []Result{named}})
+	sendOne(t, p, listedReplica)
+	p.RemoveUnlisted(catalog.NewStore(0).Load())
+	if !p.Backend(listedReplica, twoConnections).Limited() {
+		t.Error("the limit was forgotten while the replica was not listed")
+	}
+	p.RemoveUnlisted(catalog.NewStore(0).Load())
+	restarted := listedReplica
+	restarted.StartedAt = 2
+	if p.Backend(restarted, twoConnections).Limited() {
+		t.Error("a restarted replica has the limit of its earlier incarnation")
+	}
+}
