Name the era of the store beside each revision

Callers were refused on routes that had been added, and served by earlier versions, after the store had come back from a copy. The log showed listings that had no effect, and no reason.

Revisions now carry the era that the store names in its answers, through the followers, the relay and the peer protocol. New events say that the store has come back from a copy and that a listing was dropped; /status and edges show the era. Revisions are still compared by their number alone.

--- a/internal/ctl/edges.go
+++ b/internal/ctl/edges.go
@@ -35,6 +35,7 @@
 // StoreReport is what the store holds.
 type StoreReport struct {
 	ConfigVersion int64             `json:"config_version"`
+	Era           int64             `json:"era"`
 	Evacuated     []string          `json:"evacuated"`
 	InstanceNames []string          `json:"daemons"`
 	Replicas      []catalog.Replica `json:"replicas"`
@@ -79,10 +80,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := &StoreReport{}
-	configs, _, err := store.Config().List(ctx)
+	configs, revision, err := store.Config().List(ctx)
 	if err != nil {
 		return nil, err
 	}
+	s.Era = revision.Era
 	for _, c := range configs {
 		if c.Valid {
 			s.ConfigVersion = max(s.ConfigVersion, c.Value.Version)
@@ -175,6 +177,9 @@
 		if d.ConfigVersion < s.ConfigVersion {
 			notes = append(notes, "behind")
 		}
+		if d.StoreEra < s.Era {
+			notes = append(notes, fmt.Sprintf("knows era %d of the store, which is in %d", d.StoreEra, s.Era))
+		}
 		if !slices.Equal(d.Evacuated, s.Evacuated) {
 			notes = append(notes, "other evacuations than the store")
 		}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -41,7 +41,7 @@
 var stateEventGroups = map[string]string{
 	"start": "start", "reload": "reload", "ready": "ready", "stop": "stop",
 	"configuration in force": "configuration", "daemons": "daemons", "evacuation": "evacuation",
-	"store lost": "store", "store regained": "store", "lines dropped": "lines",
+	"store restored": "era", "store lost": "store", "store regained": "store", "lines dropped": "lines",
 	"rate limit": "rate limit", "replica": "replica", "replica gone": "replica",
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -203,7 +203,7 @@
 func (d *Daemon) status() any {
 	snap := d.catalog.Load()
 	doc := status.EdgeDocument{
-		Instance: d.settings.Load().Name, Zone: d.settings.Load().Zone, Ready: d.isReady(), StoreLost: d.link.Lost(),
+		Instance: d.settings.Load().Name, Zone: d.settings.Load().Zone, Ready: d.isReady(), StoreLost: d.link.Lost(), StoreEra: d.link.Era(),
 		Evacuated: snap.Evacuated(), InstanceNames: snap.InstanceNames, InFlight: d.forwarder.InFlight(), Replicas: d.pool.Reports(time.Now()),
 	}
 	if snap.Config != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -75,30 +75,30 @@
 
 // Fetch implements follow.Peers. An object without a name in the reply carries the
 // revision of its kind's listing.
-func (p *peers) Fetch(ctx context.Context, address string, have map[string]int64) (follow.FetchResult, error) {
+func (p *peers) Fetch(ctx context.Context, address string, have map[string]follow.Revision) (follow.FetchResult, error) {
 	req := &peerpb.FetchRequest{}
 	for kind, revision := range have {
-		req.Have = append(req.Have, &peerpb.ObjectVersion{Kind: kind, Version: revision})
+		req.Have = append(req.Have, &peerpb.ObjectVersion{Kind: kind, Version: revision.Number, Era: revision.Era})
 	}
 	reply, err := p.conns.Client(address).Fetch(ctx, req)
 	if err != nil {
 		return follow.FetchResult{}, err
 	}
 	a := follow.FetchResult{
-		Listings: map[string]follow.Listing{}, Unchanged: map[string]int64{},
+		Listings: map[string]follow.Listing{}, Unchanged: map[string]follow.Revision{},
 		Age: time.Duration(reply.AgeMs) * time.Millisecond, SinceReturn: time.Duration(reply.BackMs) * time.Millisecond,
 	}
 	for _, o := range reply.Objects {
 		l := a.Listings[o.Kind]
 		if o.Name == "" {
-			l.Revision = o.Version
+			l.Revision = follow.Revision{Era: o.Era, Number: o.Version}
 		} else {
 			l.Objects = append(l.Objects, follow.RawObject{Name: o.Name, Revision: o.Version, Value: o.Value})
 		}
 		a.Listings[o.Kind] = l
 	}
 	for _, v := range reply.Unchanged {
-		a.Unchanged[v.Kind] = v.Version
+		a.Unchanged[v.Kind] = follow.Revision{Era: v.Era, Number: v.Version}
 	}
 	return a, nil
 }
@@ -110,17 +110,17 @@
 // Fetch returns what this instance has read from the store since the revisions of
 // the asking instance, and the age of that state.
 func (s peerService) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-	have := make(map[string]int64, len(req.Have))
+	have := make(map[string]follow.Revision, len(req.Have))
 	for _, v := range req.Have {
-		have[v.Kind] = v.Version
+		have[v.Kind] = follow.Revision{Era: v.Era, Number: v.Version}
 	}
 	a := s.relay.ChangesSince(have)
 	reply := &peerpb.FetchReply{AgeMs: a.Age.Milliseconds(), BackMs: a.SinceReturn.Milliseconds()}
 	for kind, revision := range a.Unchanged {
-		reply.Unchanged = append(reply.Unchanged, &peerpb.ObjectVersion{Kind: kind, Version: revision})
+		reply.Unchanged = append(reply.Unchanged, &peerpb.ObjectVersion{Kind: kind, Version: revision.Number, Era: revision.Era})
 	}
 	for kind, l := range a.Listings {
-		reply.Objects = append(reply.Objects, &peerpb.Object{Kind: kind, Version: l.Revision})
+		reply.Objects = append(reply.Objects, &peerpb.Object{Kind: kind, Version: l.Revision.Number, Era: l.Revision.Era})
 		for _, o := range l.Objects {
 			reply.Objects = append(reply.Objects, &peerpb.Object{Kind: kind, Name: o.Name, Version: o.Revision, Value: o.Value})
 		}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -68,7 +68,7 @@
 
 func (f *Follower[T]) list(ctx context.Context) bool {
 	var items []Item[T]
-	var revision int64
+	var revision Revision
 	err := f.link.call(ctx, f.kind, func(ctx context.Context) (err error) {
 		items, revision, err = f.source.List(ctx)
 		return err
@@ -76,7 +76,7 @@
 	if err != nil {
 		return false
 	}
-	f.logger.Info().Str("event", "listed").Str("kind", f.kind).Int("objects", len(items)).Int64("revision", revision).Msg("all objects of a kind listed")
+	f.logger.Info().Str("event", "listed").Str("kind", f.kind).Int("objects", len(items)).Int64("revision", revision.Number).Int64("era", revision.Era).Msg("all objects of a kind listed")
 	f.link.noteRevision(revision)
 	f.replace(items, revision)
 	return true
@@ -84,16 +84,19 @@
 
 // replace replaces the state by a full list, unless the state has a later
 // revision.
-func (f *Follower[T]) replace(items []Item[T], revision int64) {
+func (f *Follower[T]) replace(items []Item[T], revision Revision) {
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
 	raw := make([]RawObject, len(items))
 	for i, item := range items {
 		raw[i] = RawObject{Name: item.Name, Revision: item.Revision, Value: item.Raw}
 	}
-	if f.mirror.replace(raw, revision) {
-		f.sink.Replace(items)
+	if !f.mirror.replace(raw, revision) {
+		f.logger.Info().Str("event", "listing dropped").Str("kind", f.kind).Str("revision", revision.String()).
+			Str("known", f.Revision().String()).Msg("listing is older than the known state")
+		return
 	}
+	f.sink.Replace(items)
 }
 
 // ApplyListing implements RelayedFollower.
@@ -106,7 +109,7 @@
 }
 
 // AdvanceTo implements RelayedFollower.
-func (f *Follower[T]) AdvanceTo(revision int64) {
+func (f *Follower[T]) AdvanceTo(revision Revision) {
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
 	f.advance(nil, nil, revision)
@@ -115,7 +118,7 @@
 // apply applies the changes after the revision since. It drops them if a relayed
 // listing has changed the revision meanwhile; the next watch then starts from
 // that revision.
-func (f *Follower[T]) apply(since int64, changes []Change[T], revision int64) {
+func (f *Follower[T]) apply(since Revision, changes []Change[T], revision Revision) {
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
 	if f.Revision() != since {
@@ -148,7 +151,7 @@
 		changes, next, err := f.poll(ctx, revision, wait)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			f.logger.Info().Str("event", "history gone").Str("kind", f.kind).Int64("revision", revision).Msg("the store no longer has this revision; listing again")
+			f.logger.Info().Str("event", "history gone").Str("kind", f.kind).Int64("revision", revision.Number).Int64("era", revision.Era).Msg("the store no longer has this revision; listing again")
 			return
 		case err != nil:
 			continue
@@ -164,7 +167,7 @@
 // errWatchBehind when another answer of the store names a revision later than all
 // known at the start of the call, and the call does not return within
 // watchLagLimit after that.
-func (f *Follower[T]) poll(ctx context.Context, revision int64, wait time.Duration) (changes []Change[T], next int64, err error) {
+func (f *Follower[T]) poll(ctx context.Context, revision Revision, wait time.Duration) (changes []Change[T], next Revision, err error) {
 	known := f.link.Revision()
 	err = f.link.call(ctx, f.kind, func(ctx context.Context) error {
 		ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -39,17 +39,17 @@
 	f()
 }
 
-func (s *fakeStore) List(context.Context) ([]Item[struct{}], int64, error) {
+func (s *fakeStore) List(context.Context) ([]Item[struct{}], Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.unavailable {
-		return nil, 0, errUnavailable
+		return nil, Revision{}, errUnavailable
 	}
-	return nil, s.revision, nil
+	return nil, Revision{Number: s.revision}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, since int64, wait time.Duration) ([]Change[struct{}], int64, error) {
+func (s *fakeStore) Watch(ctx context.Context, since Revision, wait time.Duration) ([]Change[struct{}], Revision, error) {
 	s.mu.Lock()
 	s.calls++
 	missChanges, unavailable, unresponsive := s.watchesMissChanges, s.unavailable, s.unresponsive
@@ -66,7 +66,7 @@
 		s.mu.Lock()
 		var later []Change[struct{}]
 		for _, c := range s.changes {
-			if c.Revision > since {
+			if c.Revision > since.Number {
 				later = append(later, c)
 			}
 		}
@@ -77,7 +77,7 @@
 			if !sleep(ctx, delay) {
 				return nil, since, ctx.Err()
 			}
-			return later, revision, nil
+			return later, Revision{Number: revision}, nil
 		}
 		if !sleep(ctx, time.Millisecond) {
 			return nil, since, ctx.Err()
@@ -129,7 +129,7 @@
 		time.Sleep(time.Second)
 		store.withLock(func() { store.watchesMissChanges = false })
 		store.add("a")
-		link.noteRevision(2) // the answer to a call for another kind names the revision
+		link.noteRevision(Revision{Number: 2}) // the answer to a call for another kind names the revision
 		time.Sleep(watchLagLimit + probeWait + 50*time.Millisecond)
 		if sink.count() != 1 {
 			t.Fatalf("%d changes applied, want 1", sink.count())
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -41,8 +41,9 @@
 	returnedAt       time.Time
 	failures         int
 	lostChanged      chan struct{} // closed when lost changes
-	revision         int64         // latest that any answer of the store named
+	revision         Revision      // latest that any answer of the store named
 	revisionAdvanced chan struct{} // closed when revision grows
+	era              int64         // latest of the store
 	// confirmedAt is when the store last answered this instance, or another one
 	// that relayed the answer.
 	confirmedAt time.Time
@@ -74,17 +75,31 @@
 }
 
 // Revision returns the latest revision of the store that any answer named.
-func (l *Link) Revision() int64 {
+func (l *Link) Revision() Revision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.revision
 }
 
+// Era returns the latest era of the store that any answer named.
+func (l *Link) Era() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
 // noteRevision records the revision that an answer of the store named.
-func (l *Link) noteRevision(revision int64) {
+func (l *Link) noteRevision(revision Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision > l.revision {
+	if revision.Era > l.era {
+		if l.era > 0 {
+			l.logger.Warn().Str("event", "store restored").Int64("era", revision.Era).Int64("revision", revision.Number).
+				Str("known", l.revision.String()).Msg("the store has come back from a copy; its revisions start again")
+		}
+		l.era = revision.Era
+	}
+	if l.revision.Before(revision) {
 		l.revision = revision
 		close(l.revisionAdvanced)
 		l.revisionAdvanced = make(chan struct{})
@@ -93,12 +108,12 @@
 
 // awaitMissedRevision waits until an answer has named a later revision than since,
 // and then for watchLagLimit. It reports false if done is closed before that.
-func (l *Link) awaitMissedRevision(done <-chan struct{}, since int64) bool {
+func (l *Link) awaitMissedRevision(done <-chan struct{}, since Revision) bool {
 	for {
 		l.mu.Lock()
-		later, advanced := l.revision > since, l.revisionAdvanced
+		missed, advanced := since.Before(l.revision), l.revisionAdvanced
 		l.mu.Unlock()
-		if later {
+		if missed {
 			t := time.NewTimer(watchLagLimit)
 			defer t.Stop()
 			select {
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -14,7 +14,7 @@
 	// the revision that the asking instance has.
 	Listings map[string]Listing
 	// Unchanged holds, by kind, the revision up to which each other kind was read.
-	Unchanged map[string]int64
+	Unchanged map[string]Revision
 	// Age is the time since the store last answered the other instance, or one that
 	// relayed the answer to it.
 	Age time.Duration
@@ -32,25 +32,25 @@
 	Any() string
 	// Fetch asks an instance for what changed after the revisions of have, which
 	// are by kind.
-	Fetch(ctx context.Context, instance string, have map[string]int64) (FetchResult, error)
+	Fetch(ctx context.Context, instance string, have map[string]Revision) (FetchResult, error)
 }
 
 // RelayedFollower is a Follower as the relay uses it, independent of the type of its
 // objects.
 type RelayedFollower interface {
 	Kind() string
-	Revision() int64
+	Revision() Revision
 	// LatestChange returns the revision of the latest change that is known to be
 	// included.
-	LatestChange() int64
+	LatestChange() Revision
 	// ListingSince returns the revision up to which the kind was read, and all
 	// objects if one of them may have changed after since.
-	ListingSince(since int64) (l Listing, changed bool)
+	ListingSince(since Revision) (l Listing, changed bool)
 	// ApplyListing replaces the state by a listing that another instance has read,
 	// unless the state has a later revision.
 	ApplyListing(l Listing)
 	// AdvanceTo records that nothing has changed up to a revision.
-	AdvanceTo(revision int64)
+	AdvanceTo(revision Revision)
 }
 
 const (
@@ -171,7 +171,7 @@
 func (r *Relay) fetchFrom(ctx context.Context, instance string) (confirmed time.Time, fresh bool) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	have := make(map[string]int64, len(r.followers))
+	have := make(map[string]Revision, len(r.followers))
 	for _, f := range r.followers {
 		have[f.Kind()] = f.Revision()
 	}
@@ -195,8 +195,8 @@
 	}
 	for _, f := range r.followers {
 		if l, changed := a.Listings[f.Kind()]; changed {
-			r.logger.Info().Str("event", "relayed").Str("kind", f.Kind()).Str("peer", instance).Int64("from", f.Revision()).
-				Int64("revision", l.Revision).Int("objects", len(l.Objects)).Dur("age", a.Age).Msg("listing of another instance received")
+			r.logger.Info().Str("event", "relayed").Str("kind", f.Kind()).Str("peer", instance).Str("from", f.Revision().String()).
+				Str("revision", l.Revision.String()).Int("objects", len(l.Objects)).Dur("age", a.Age).Msg("listing of another instance received")
 			f.ApplyListing(l)
 		} else if revision, ok := a.Unchanged[f.Kind()]; ok {
 			f.AdvanceTo(revision)
@@ -209,8 +209,8 @@
 // each change that this one knows.
 func (r *Relay) coversLocalState(a FetchResult) bool {
 	for _, f := range r.followers {
-		revision := max(a.Listings[f.Kind()].Revision, a.Unchanged[f.Kind()])
-		if revision == 0 || revision < f.LatestChange() {
+		revision := later(a.Listings[f.Kind()].Revision, a.Unchanged[f.Kind()])
+		if revision.IsZero() || revision.Before(f.LatestChange()) {
 			return false
 		}
 	}
@@ -219,8 +219,8 @@
 
 // ChangesSince returns the answer to an instance that has the revisions of have, which
 // are by kind.
-func (r *Relay) ChangesSince(have map[string]int64) FetchResult {
-	a := FetchResult{Listings: map[string]Listing{}, Unchanged: map[string]int64{}}
+func (r *Relay) ChangesSince(have map[string]Revision) FetchResult {
+	a := FetchResult{Listings: map[string]Listing{}, Unchanged: map[string]Revision{}}
 	for _, f := range r.followers {
 		since := have[f.Kind()]
 		if l, changed := f.ListingSince(since); changed {
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -72,7 +72,7 @@
 	return ""
 }
 
-func (m *member) Fetch(ctx context.Context, name string, have map[string]int64) (FetchResult, error) {
+func (m *member) Fetch(ctx context.Context, name string, have map[string]Revision) (FetchResult, error) {
 	other := m.group.member(name)
 	if other == nil || other.unresponsive.Load() {
 		<-ctx.Done()
@@ -115,8 +115,8 @@
 		addObject("a", served)
 		addObject("b", served)
 		time.Sleep(4 * time.Second)
-		if n, r := refused.sink.listed(), refused.follower.Revision(); n != 2 || r != 3 {
-			t.Errorf("%d objects at revision %d, want 2 at 3", n, r)
+		if n, r := refused.sink.listed(), refused.follower.Revision(); n != 2 || r.Number != 3 {
+			t.Errorf("%d objects at revision %v, want 2 at 3", n, r)
 		}
 		refused.store.withLock(func() { refused.store.unavailable, refused.store.revision = false, 3 })
 		time.Sleep(5 * time.Second)
@@ -137,7 +137,7 @@
 			addObject("x", reader, other)
 			time.Sleep(time.Second)
 			if n, want := other.follower.Revision(), reader.follower.Revision(); n != want {
-				t.Errorf("revision %d a second after a change, want %d", n, want)
+				t.Errorf("revision %v a second after a change, want %v", n, want)
 			}
 		}
 		if n := other.calls() - before; n > 0 {
@@ -165,8 +165,8 @@
 				time.Sleep(10 * time.Millisecond)
 				addObject("x", other)
 				time.Sleep(maxChangeDelay)
-				if r := other.follower.Revision(); r != 2 {
-					t.Errorf("revision %d, want 2", r)
+				if r := other.follower.Revision(); r.Number != 2 {
+					t.Errorf("revision %v, want 2", r)
 				}
 			})
 		})
@@ -178,11 +178,11 @@
 func TestLateWatchDoesNotRevert(t *testing.T) {
 	sink := &recordingSink{}
 	f := NewFollower(logs.OrDiscard(nil), "things", NewLink(logs.OrDiscard(nil)), &fakeStore{}, sink, time.Second, 0)
-	f.ApplyListing(Listing{Revision: 5})
-	f.ApplyListing(Listing{Revision: 9})
-	f.apply(5, []Change[struct{}]{{Item: Item[struct{}]{Name: "a", Revision: 7}}}, 10)
-	if sink.count() != 0 || f.Revision() != 9 {
-		t.Errorf("%d changes applied, revision %d; want 0 and 9", sink.count(), f.Revision())
+	f.ApplyListing(Listing{Revision: Revision{Number: 5}})
+	f.ApplyListing(Listing{Revision: Revision{Number: 9}})
+	f.apply(Revision{Number: 5}, []Change[struct{}]{{Item: Item[struct{}]{Name: "a", Revision: 7}}}, Revision{Number: 10})
+	if sink.count() != 0 || f.Revision().Number != 9 {
+		t.Errorf("%d changes applied, revision %v; want 0 and 9", sink.count(), f.Revision())
 	}
 }
 
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -34,10 +34,10 @@
 // ErrHistoryGone count as an outage of the store.
 type Source[T any] interface {
 	// List returns all objects and the revision from which a watch continues.
-	List(ctx context.Context) ([]Item[T], int64, error)
+	List(ctx context.Context) ([]Item[T], Revision, error)
 	// Watch waits up to wait for changes after since. It returns them, or none, and
 	// the revision from which the next watch continues.
-	Watch(ctx context.Context, since int64, wait time.Duration) ([]Change[T], int64, error)
+	Watch(ctx context.Context, since Revision, wait time.Duration) ([]Change[T], Revision, error)
 	// Decode returns the item of an undecoded object.
 	Decode(o RawObject) Item[T]
 }
--- a/internal/status/edge.go
+++ b/internal/status/edge.go
@@ -10,6 +10,7 @@
 	Ready         bool             `json:"ready"`
 	ConfigVersion int64            `json:"config_version"`
 	StoreLost     bool             `json:"store_lost"`
+	StoreEra      int64            `json:"store_era"` // see follow.Revision
 	Evacuated     []string         `json:"evacuated"`
 	InstanceNames []string         `json:"daemons"` // names of the registered instances
 	InFlight      int64            `json:"in_flight"`
