Order what is read from the store by its era first

Cause: revisions were compared by number, in the followers, the link, the relay and what an instance asks of another.

A revision is ordered by era and number. A watch that is answered in a later era is listed again, an answer of an earlier one is an outage. What the copy brings back or lacks: removed replicas stay out until they report again; replicas, evacuations and instances that are missing are held; each instance registers again, also while another one reads for it, and not while it stops.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -42,6 +42,7 @@
 	catalog        *catalog.Store
 	store          *platform.Store
 	link           *follow.Link
+	registrar      *follow.Registrar
 	pool           *replica.Pool
 	forwarder      *forward.Forwarder
 	server         *ingress.Server
@@ -113,23 +114,25 @@
 // the store, those that relay between instances, and the peer server.
 func (d *Daemon) addStoreControllers(source net.IP) {
 	s := d.settings.Load()
-	sink := follow.NewReplicaSink(d.logger, d.catalog, d.link)
+	replicaSink := follow.NewReplicaSink(d.logger, d.catalog, d.link)
 	config := follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
 		follow.ConfigSink{Logger: d.logger, Store: d.catalog, Name: platform.ConfigName}, follow.WatchWait(s.Contact), 0)
-	replicas := follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), sink, longWatchWait, replicaBatchDelay)
-	evacuations := follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(),
-		follow.NewZoneSink(d.logger, d.catalog), longWatchWait, 0)
-	instances := follow.NewFollower(d.logger, "daemons", d.link, d.store.Instances(),
-		follow.NewInstanceSink(d.logger, d.catalog, s.Name), longWatchWait, instanceBatchDelay)
+	replicas := follow.NewFollower(d.logger, "replicas", d.link, d.store.Replicas(), replicaSink, longWatchWait, replicaBatchDelay)
+	zoneSink := follow.NewZoneSink(d.logger, d.catalog, d.link)
+	evacuations := follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(), zoneSink, longWatchWait, 0)
+	instanceSink := follow.NewInstanceSink(d.logger, d.catalog, d.link, s.Name)
+	instances := follow.NewFollower(d.logger, "daemons", d.link, d.store.Instances(), instanceSink, longWatchWait, instanceBatchDelay)
+	d.registrar = follow.NewRegistrar(d.logger, d.link, d.store, instanceSink, s.Name, catalog.Instance{Address: s.PeerListen, Zone: s.Zone})
 	d.peerConns = peer.NewConns(d.logger, source)
 	relay := follow.NewRelay(d.logger, d.link,
 		&peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns},
 		follow.MaxRelayAge(s.Contact),
 		config, replicas, evacuations, instances)
 	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerService{relay})
-	d.components = append(d.components, sink.Run, config.Run, replicas.Run, evacuations.Run, relay.Run, d.peerServer.Run,
+	d.components = append(d.components, replicaSink.Run, zoneSink.Run, instanceSink.Run, d.registrar.Run,
+		config.Run, replicas.Run, evacuations.Run, relay.Run, d.peerServer.Run,
 		func(ctx context.Context) error {
-			follow.Register(ctx, d.logger, d.link, d.store, s.Name, catalog.Instance{Address: s.PeerListen, Zone: s.Zone})
+			d.registrar.Register(ctx)
 			return instances.Run(ctx)
 		},
 	)
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/baobabsill/baobabsill/internal/follow"
 )
 
 const (
@@ -21,12 +19,12 @@
 // the instance, and waits until the load balancer has removed it. Then it drains the
 // requests in flight, until exitMargin before the end of the grace time.
 func (d *Daemon) shutdown(force context.Context) error {
-	started, grace, self := time.Now(), d.settings.Load().Grace, d.settings.Load().Name
+	started, grace := time.Now(), d.settings.Load().Grace
 	d.stopping.Store(true)
 	d.server.AnnounceClose()
 	d.logger.Info().Str("event", "stop").Dur("grace", grace).Int64("in_flight", d.forwarder.InFlight()).
 		Msg("instance stops")
-	follow.Deregister(d.logger, d.store, self)
+	d.registrar.Deregister()
 	end := started.Add(grace - exitMargin)
 	pause(force, min(balancerRemovalDelay, grace/2)-time.Since(started))
 	ctx, cancel := context.WithDeadline(force, end)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -17,6 +17,10 @@
 // revision that the store had already named in another answer.
 var errWatchBehind = errors.New("watch missed a revision")
 
+// errEarlierEra says that an answer of the store is older than others: it is of an era
+// from which the store has come back since.
+var errEarlierEra = errors.New("answer is of an earlier era of the store")
+
 func isOutage(err error) bool {
 	return err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, errWatchBehind)
 }
@@ -70,7 +74,9 @@
 	var items []Item[T]
 	var revision Revision
 	err := f.link.call(ctx, f.kind, func(ctx context.Context) (err error) {
-		items, revision, err = f.source.List(ctx)
+		if items, revision, err = f.source.List(ctx); err == nil && revision.Era < f.link.Era() {
+			return errEarlierEra
+		}
 		return err
 	})
 	if err != nil {
@@ -184,8 +190,18 @@
 		if err != nil && errors.Is(context.Cause(ctx), errWatchBehind) {
 			return errWatchBehind
 		}
+		if err != nil {
+			return err
+		}
 		f.link.noteRevision(next)
-		return err
+		switch {
+		case next.Era < revision.Era:
+			return errEarlierEra
+		case next.Era > revision.Era:
+			// The changes follow another state than the one that was read.
+			return ErrHistoryGone
+		}
+		return nil
 	})
 	return changes, next, err
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,7 +18,7 @@
 // fakeStore is a store with one kind of object.
 type fakeStore struct {
 	mu                 sync.Mutex
-	revision           int64
+	era, revision      int64
 	changes            []Change[struct{}]
 	watchesMissChanges bool          // watches do not report changes that come during their wait
 	unavailable        bool          // calls fail at once
@@ -33,20 +36,40 @@
 	s.changes = append(s.changes, Change[struct{}]{Item: Item[struct{}]{Name: name, Revision: s.revision, Valid: true}})
 }
 
+// restore makes the store come back from a copy as it was at a revision. Watches that
+// wait are not ended.
+func (s *fakeStore) restore(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision = revision
+	s.changes = slices.DeleteFunc(s.changes, func(c Change[struct{}]) bool { return c.Revision > revision })
+}
+
 func (s *fakeStore) withLock(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f()
 }
 
-func (s *fakeStore) List(context.Context) ([]Item[struct{}], Revision, error) {
+// callTime is how long a call to the store takes at least.
+const callTime = time.Millisecond
+
+func (s *fakeStore) List(ctx context.Context) ([]Item[struct{}], Revision, error) {
+	if !sleep(ctx, callTime) {
+		return nil, Revision{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.unavailable {
 		return nil, Revision{}, errUnavailable
 	}
-	return nil, Revision{Number: s.revision}, nil
+	items := make([]Item[struct{}], len(s.changes))
+	for i, c := range s.changes {
+		items[i] = c.Item
+	}
+	return items, Revision{s.era, s.revision}, nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, since Revision, wait time.Duration) ([]Change[struct{}], Revision, error) {
@@ -70,14 +93,18 @@
 				later = append(later, c)
 			}
 		}
-		revision := s.revision
+		revision := Revision{s.era, s.revision}
 		s.mu.Unlock()
+		if since.Number > revision.Number {
+			sleep(ctx, callTime)
+			return nil, since, ErrHistoryGone
+		}
 		if len(later) > 0 && !missChanges || !time.Now().Before(end) {
 			delay := s.currentDelay()
 			if !sleep(ctx, delay) {
 				return nil, since, ctx.Err()
 			}
-			return later, Revision{Number: revision}, nil
+			return later, revision, nil
 		}
 		if !sleep(ctx, time.Millisecond) {
 			return nil, since, ctx.Err()
@@ -95,6 +122,38 @@
 	return Item[struct{}]{Name: o.Name, Revision: o.Revision, Valid: true}
 }
 
+// stateSink holds the names of the current objects, and counts the listings.
+type stateSink struct {
+	mu       sync.Mutex
+	names    map[string]bool
+	listings int
+}
+
+func (s *stateSink) Replace(items []Item[struct{}]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.names = map[string]bool{}
+	s.listings++
+	for _, item := range items {
+		s.names[item.Name] = true
+	}
+}
+
+func (s *stateSink) Apply(changes []Change[struct{}]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range changes {
+		s.names[c.Name] = true
+	}
+}
+
+// state returns the sorted names, joined.
+func (s *stateSink) state() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(slices.Sorted(maps.Keys(s.names)), " ")
+}
+
 type recordingSink struct {
 	mu    sync.Mutex
 	names []string
--- a/internal/follow/instances.go
+++ b/internal/follow/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -10,88 +11,97 @@
 	"github.com/baobabsill/baobabsill/internal/catalog"
 )
 
-// Registry is the list of instances in the store, with one object for each. The store
-// calls an instance a daemon.
-type Registry interface {
-	// Register creates the object of an instance. If an earlier process of that name
-	// left one behind, that one stays and created is false.
-	Register(ctx context.Context, name string, instance catalog.Instance) (created bool, err error)
-	// Deregister removes the object of an instance. A missing object is not an error.
-	Deregister(ctx context.Context, name string) error
-}
+// instanceHold is how long after the store has come back from a copy the instances that
+// its listing lacks are kept. By then, those that live have registered again.
+const instanceHold = 10 * time.Second
 
 // InstanceSink keeps the list of registered instances in the catalog.
 type InstanceSink struct {
 	logger *log.Logger
 	store  *catalog.Store
+	link   *Link
 	self   string
-	listed map[string]catalog.Instance // by name
+
+	mu           sync.Mutex
+	listed       heldSet[catalog.Instance]
+	missingSince time.Time // since when the store does not list self; zero if it does
 }
 
 // NewInstanceSink returns an InstanceSink. The instance self is always in its list,
-// also while the store does not list it.
-func NewInstanceSink(logger *log.Logger, store *catalog.Store, self string) *InstanceSink {
-	return &InstanceSink{logger: logger, store: store, self: self, listed: map[string]catalog.Instance{}}
+// also while the store does not list it. Run has to be called, as it ends the holds.
+func NewInstanceSink(logger *log.Logger, store *catalog.Store, link *Link, self string) *InstanceSink {
+	return &InstanceSink{logger: logger, store: store, link: link, self: self, listed: newHeldSet[catalog.Instance]()}
 }
 
 // Replace implements Sink.
 func (s *InstanceSink) Replace(items []Item[catalog.Instance]) {
-	clear(s.listed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make(map[string]catalog.Instance, len(items))
 	for _, item := range items {
-		s.listed[item.Name] = item.Value
+		listed[item.Name] = item.Value
 	}
+	_, found := listed[s.self]
+	s.noteSelf(found)
+	s.listed.replace(listed, time.Now(), s.link.RestoredAt().Add(instanceHold))
 	s.publish()
 }
 
 // Apply implements Sink.
 func (s *InstanceSink) Apply(changes []Change[catalog.Instance]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range changes {
+		if c.Name == s.self {
+			s.noteSelf(!c.Deleted)
+		}
 		if c.Deleted {
-			delete(s.listed, c.Name)
+			s.listed.remove(c.Name)
 		} else {
-			s.listed[c.Name] = c.Value
+			s.listed.add(c.Name, c.Value)
 		}
 	}
 	s.publish()
 }
 
-func (s *InstanceSink) publish() {
-	if _, listed := s.listed[s.self]; !listed {
-		s.listed[s.self] = catalog.Instance{}
-	}
-	if maps.Equal(s.listed, s.store.Load().Instances) {
-		return
-	}
-	s.store.SetInstances(s.listed)
-	s.logger.Info().Str("event", "daemons").Int("daemons", len(s.listed)).Msg("list of registered instances changed")
+// Run ends the holds, until ctx ends.
+func (s *InstanceSink) Run(ctx context.Context) error {
+	return runTicks(ctx, time.Second, func(now time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.listed.expire(now) {
+			s.publish()
+		}
+	})
 }
 
-// Register adds this instance to the registry and tries again until the store
-// has accepted it or ctx ends.
-func Register(ctx context.Context, logger *log.Logger, link *Link, registry Registry, name string, instance catalog.Instance) {
-	for ctx.Err() == nil {
-		var created bool
-		err := link.call(ctx, "daemons", func(ctx context.Context) (err error) {
-			created, err = registry.Register(ctx, name, instance)
-			return err
-		})
-		if err == nil {
-			logger.Info().Str("event", "registered").Bool("created", created).Msg("instance registered in the store")
-			return
-		}
-	}
+// SelfMissingSince returns since when the store does not list this instance; the zero
+// time if it does.
+func (s *InstanceSink) SelfMissingSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.missingSince
 }
 
-// deregisterTimeout bounds the call that deregisters a stopping instance.
-const deregisterTimeout = 500 * time.Millisecond
+// noteSelf records whether the store lists this instance. s.mu is held.
+func (s *InstanceSink) noteSelf(listed bool) {
+	switch {
+	case listed:
+		s.missingSince = time.Time{}
+	case s.missingSince.IsZero():
+		s.missingSince = time.Now()
+	}
+}
 
-// Deregister removes this instance from the registry. If the store does not
-// answer, the object stays, and the shares of the other instances stay smaller
-// than necessary.
-func Deregister(logger *log.Logger, registry Registry, name string) {
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-	defer cancel()
-	if err := registry.Deregister(ctx, name); err != nil {
-		logger.Warn().Err(err).Msg("instance could not be deregistered; its object stays in the store")
+// publish puts the list into the catalog. s.mu is held.
+func (s *InstanceSink) publish() {
+	if _, listed := s.listed.objects[s.self]; !listed {
+		s.listed.add(s.self, catalog.Instance{})
+	}
+	if maps.Equal(s.listed.objects, s.store.Load().Instances) {
+		return
 	}
+	s.store.SetInstances(s.listed.objects)
+	s.logger.Info().Str("event", "daemons").Int("daemons", len(s.listed.objects)).Int("held", len(s.listed.heldUntil)).
+		Msg("list of registered instances changed")
 }
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -44,6 +44,7 @@
 	revision         Revision      // latest that any answer of the store named
 	revisionAdvanced chan struct{} // closed when revision grows
 	era              int64         // latest of the store
+	restoredAt       time.Time     // when a later era was first noticed
 	// confirmedAt is when the store last answered this instance, or another one
 	// that relayed the answer.
 	confirmedAt time.Time
@@ -81,6 +82,14 @@
 	return l.revision
 }
 
+// RestoredAt returns when this instance noticed that the store has come back from a
+// copy; the zero time if it has not.
+func (l *Link) RestoredAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restoredAt
+}
+
 // Era returns the latest era of the store that any answer named.
 func (l *Link) Era() int64 {
 	l.mu.Lock()
@@ -94,6 +103,7 @@
 	defer l.mu.Unlock()
 	if revision.Era > l.era {
 		if l.era > 0 {
+			l.returnedAt, l.restoredAt = time.Now(), time.Now()
 			l.logger.Warn().Str("event", "store restored").Int64("era", revision.Era).Int64("revision", revision.Number).
 				Str("known", l.revision.String()).Msg("the store has come back from a copy; its revisions start again")
 		}
@@ -229,15 +239,19 @@
 	return d/2 + rand.N(d/2)
 }
 
-// call runs f, which calls the store. It waits first while calls are paused. If
-// the link is lost, it waits for the probe token and the backoff, and runs f with
-// probeTimeout; if the link changes before it has the token, it returns
-// errLinkChanged. If the link is not lost, it cancels f when another call finds
-// the link lost, because an unresponsive store would hold f for its whole wait.
+// call runs f like callUnpaused, but waits first while calls are paused.
 func (l *Link) call(ctx context.Context, kind string, f func(ctx context.Context) error) error {
 	if err := l.awaitResume(ctx); err != nil {
 		return err
 	}
+	return l.callUnpaused(ctx, kind, f)
+}
+
+// callUnpaused runs f, which calls the store. If the link is lost, it waits for the probe token and the backoff, and runs f with
+// probeTimeout; if the link changes before it has the token, it returns
+// errLinkChanged. If the link is not lost, it cancels f when another call finds
+// the link lost, because an unresponsive store would hold f for its whole wait.
+func (l *Link) callUnpaused(ctx context.Context, kind string, f func(ctx context.Context) error) error {
 	lost, changed := l.state()
 	if !lost {
 		callCtx, cancel := context.WithCancel(ctx)
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -23,6 +23,12 @@
 	SinceReturn time.Duration
 }
 
+// revision returns the revision up to which the other instance has read a kind; zero if
+// it has not.
+func (a FetchResult) revision(kind string) Revision {
+	return later(a.Listings[kind].Revision, a.Unchanged[kind])
+}
+
 // Peers asks other instances what they have read from the store.
 type Peers interface {
 	// Readers returns the instances that read from the store for this one, the
@@ -194,6 +200,9 @@
 		r.link.noteReturn(askedAt.Add(-a.SinceReturn))
 	}
 	for _, f := range r.followers {
+		if revision := a.revision(f.Kind()); revision.Era > r.link.Era() {
+			r.link.noteRevision(revision)
+		}
 		if l, changed := a.Listings[f.Kind()]; changed {
 			r.logger.Info().Str("event", "relayed").Str("kind", f.Kind()).Str("peer", instance).Str("from", f.Revision().String()).
 				Str("revision", l.Revision.String()).Int("objects", len(l.Objects)).Dur("age", a.Age).Msg("listing of another instance received")
@@ -209,7 +218,7 @@
 // each change that this one knows.
 func (r *Relay) coversLocalState(a FetchResult) bool {
 	for _, f := range r.followers {
-		revision := later(a.Listings[f.Kind()].Revision, a.Unchanged[f.Kind()])
+		revision := a.revision(f.Kind())
 		if revision.IsZero() || revision.Before(f.LatestChange()) {
 			return false
 		}
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -41,6 +41,7 @@
 	store        *fakeStore
 	link         *Link
 	sink         *replacingSink
+	state        *stateSink
 	follower     *Follower[struct{}]
 	relay        *Relay
 }
@@ -48,8 +49,8 @@
 // start adds an instance and runs it until ctx ends.
 func (g *group) start(ctx context.Context, name string, readers ...string) *member {
 	logger := logs.OrDiscard(nil)
-	m := &member{group: g, name: name, readers: readers, store: &fakeStore{revision: 1}, link: NewLink(logger), sink: &replacingSink{}}
-	m.follower = NewFollower(logger, "things", m.link, m.store, m.sink, WatchWait(contactTime), 0)
+	m := &member{group: g, name: name, readers: readers, store: &fakeStore{era: 1, revision: 1}, link: NewLink(logger), sink: &replacingSink{}, state: &stateSink{}}
+	m.follower = NewFollower(logger, "things", m.link, m.store, sinks{m.sink, m.state}, WatchWait(contactTime), 0)
 	m.relay = NewRelay(logger, m.link, m, MaxRelayAge(contactTime), m.follower)
 	g.mu.Lock()
 	g.members[name] = m
@@ -59,6 +60,21 @@
 	return m
 }
 
+// sinks passes what a follower reads to several sinks.
+type sinks []Sink[struct{}]
+
+func (s sinks) Replace(items []Item[struct{}]) {
+	for _, sink := range s {
+		sink.Replace(items)
+	}
+}
+
+func (s sinks) Apply(changes []Change[struct{}]) {
+	for _, sink := range s {
+		sink.Apply(changes)
+	}
+}
+
 func (m *member) Readers() []string { return m.readers }
 
 func (m *member) Any() string {
