List kinds again whose watch waits while the store is restored

Cause: a watch that was not cut waited on; its follower was told to watch again, from the number of the earlier era. The store had that number again and only waited for changes, up to 25 s. Other answers had named the new era meanwhile.

A follower lists its kind again when any answer has named a later era than its own, and ends a waiting watch at once then. TestChangesAfterTheStoreIsRestoredAreTaken, now with a long watch beside the short one, failed in two of eight cases before.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -146,7 +146,8 @@
 }
 
 // watch applies changes as they come. It returns when the store no longer has the
-// history after the current revision, or when ctx ends.
+// history after the current revision, when another answer has shown that it has come
+// back from a copy, or when ctx ends.
 func (f *Follower[T]) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := f.maxWait
@@ -154,6 +155,9 @@
 			wait = probeWait
 		}
 		revision := f.Revision()
+		if revision.Era < f.link.Era() {
+			return // the store may have the number, and then only waits for changes
+		}
 		changes, next, err := f.poll(ctx, revision, wait)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -117,12 +117,15 @@
 }
 
 // awaitMissedRevision waits until an answer has named a later revision than since,
-// and then for watchLagLimit. It reports false if done is closed before that.
+// and then for watchLagLimit, unless the revision is of a later era. It reports false if done is closed before that.
 func (l *Link) awaitMissedRevision(done <-chan struct{}, since Revision) bool {
 	for {
 		l.mu.Lock()
-		missed, advanced := since.Before(l.revision), l.revisionAdvanced
+		missed, advanced, restored := since.Before(l.revision), l.revisionAdvanced, since.Era < l.revision.Era
 		l.mu.Unlock()
+		if restored {
+			return true
+		}
 		if missed {
 			t := time.NewTimer(watchLagLimit)
 			defer t.Stop()
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -41,9 +41,12 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store, sink, link := &fakeStore{era: 1, revision: 1}, &stateSink{}, NewLink(logs.OrDiscard(nil))
+				store, link := &fakeStore{era: 1, revision: 1}, NewLink(logs.OrDiscard(nil))
 				ctx, cancel := context.WithCancel(t.Context())
-				go NewFollower(logs.OrDiscard(nil), "things", link, store, sink, WatchWait(contactTime), 0).Run(ctx) //nolint:errcheck // ends with ctx
+				sinks := map[time.Duration]*stateSink{WatchWait(contactTime): {}, 25 * time.Second: {}} // by the wait of the watches
+				for wait, sink := range sinks {
+					go NewFollower(logs.OrDiscard(nil), "things", link, store, sink, wait, 0).Run(ctx) //nolint:errcheck // ends with ctx
+				}
 				for _, name := range []string{"a", "b", "c"} {
 					store.add(name)
 				}
@@ -54,11 +57,13 @@
 					store.add(name)
 				}
 				time.Sleep(maxChangeDelay)
-				if got := sink.state(); got != c.want {
-					t.Errorf("objects %q, want %q", got, c.want)
+				for wait, sink := range sinks {
+					if got := sink.state(); got != c.want {
+						t.Errorf("objects %q with watches that wait %v, want %q", got, wait, c.want)
+					}
 				}
 				store.withLock(func() {
-					if store.calls > 20 {
+					if store.calls > 40 {
 						t.Errorf("%d calls in %v", store.calls, maxChangeDelay)
 					}
 				})
