Play restores of the store and limits of replicas in the soak and the edge tests

The store of platformtest has eras and copies; replicas name limits. The soak restores the store while configurations come, rewrites what operator and replicas wrote, and checks that no process takes an earlier version, that all have the last one and are registered, and that a limited replica stays within its limit. The draws of the other faults are unchanged.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -291,3 +292,54 @@
 		return status == 503
 	})
 }
+
+// Guards against an instance that goes on from its old revisions after the store has come
+// back from a copy: later versions do not come into force, although the store gives out
+// the same revisions for them, and the instance stays unregistered.
+func TestStoreThatComesBackFromACopyIsFollowed(t *testing.T) {
+	d := newDeployment(t)
+	r := platformtest.NewReplica(t, "s-1", "s", "near", "0123456789abcdef")
+	putConfig := func(version int) {
+		d.store.Put(platformtest.KindConfig, "main", platformtest.Config(version, "s"))
+	}
+	inForce := func(version string) func() bool {
+		return func() bool { return strings.Contains(d.operatorPage("/status"), `"config_version":`+version+`,`) }
+	}
+	d.store.Put(platformtest.KindReplicas, r.ID, r.Spec("ready"))
+	putConfig(1)
+	beforeStart := d.store.Copy()
+	d.start()
+	putConfig(2)
+	d.eventually("on version 2", inForce("2"))
+	d.store.Restore(beforeStart)
+	putConfig(3)
+	d.eventually("on version 3", inForce("3"))
+	d.eventually("registered again", func() bool { return slices.Equal(d.store.Names(platformtest.KindInstances), []string{"d1"}) })
+	if text := d.operatorPage("/status"); !strings.Contains(text, `"store_era":2`) {
+		t.Errorf("status: %s", text)
+	}
+	if status, _, body := d.send("GET", "/all/x", ""); status != 200 {
+		t.Errorf("query: %d %q", status, body)
+	}
+}
+
+// Guards against a limit that the adapter does not pass on, and against callers that wait
+// for a replica at its limit although no other one can serve them.
+func TestRequestsBeyondTheRateLimitAreRefused(t *testing.T) {
+	d := deploy(t)
+	d.replicas[0].NameRateLimit("2")
+	d.eventually("limited", func() bool {
+		d.send("POST", "/one/x", "order")
+		return strings.Contains(d.operatorPage("/status"), `"rate_limit":{"per_second":2,`)
+	})
+	before, start := len(d.replicas[0].Arrivals()), time.Now()
+	for range 50 {
+		if status, h, body := d.send("POST", "/one/x", "order"); status != 200 && (status != 503 || h.Get("Retry-After") == "") {
+			t.Errorf("%d %v %q", status, h, body)
+		}
+	}
+	allowed := 1.5*2*time.Since(start).Seconds() + 5
+	if n := len(d.replicas[0].Arrivals()) - before; float64(n) > allowed {
+		t.Errorf("%d requests in %v to a replica that accepts 2 a second, want %g at most", n, time.Since(start), allowed)
+	}
+}
--- a/standin/soak/callers_test.go
+++ b/standin/soak/callers_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/baobabsill/baobabsill/platform/platformtest"
+	"github.com/baobabsill/baobabsill/standin/harness"
 )
 
 const (
@@ -32,9 +33,10 @@
 	mu sync.Mutex
 	// sent and ended count requests.
 	sent, ended  int
-	outcomes     map[string]int // by status, or "no answer"
-	notRun       []string       // attempts that were answered 408, 429 or 503, which mean not run
-	onceAttempts []string       // attempts that may run at most once
+	outcomes     map[string]int              // by status, or "no answer"
+	notRun       []string                    // attempts that were answered 408, 429 or 503, which mean not run
+	onceAttempts []string                    // attempts that may run at most once
+	sentTo       map[string]*harness.Process // by attempt
 }
 
 // sendRequest sends a request to one replica if it may run only once, and otherwise
@@ -52,7 +54,7 @@
 	req.Host = "h"
 	req.Header.Set(platformtest.HeaderAttempt, attempt)
 	req.Header.Set(platformtest.HeaderDeadline, strconv.FormatInt(callerTimeout.Milliseconds(), 10))
-	l.recordSent(attempt, once)
+	l.recordSent(attempt, once, i.currentProcess())
 	outcome := "no answer"
 	if resp, err := client.Do(req); err == nil {
 		data, err := io.ReadAll(resp.Body)
@@ -67,10 +69,11 @@
 	return served
 }
 
-func (l *ledger) recordSent(attempt string, once bool) {
+func (l *ledger) recordSent(attempt string, once bool, to *harness.Process) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent++
+	l.sentTo[attempt] = to
 	if once {
 		l.onceAttempts = append(l.onceAttempts, attempt)
 	}
--- a/standin/soak/deployment_test.go
+++ b/standin/soak/deployment_test.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	// still accept connections; the second half is longer than callerTimeout, so
 	// that requests accepted last can end.
 	grace        = 4 * time.Second
+	contact      = 2 * time.Second
 	stopTimeout  = grace + time.Second
 	startTimeout = 10 * time.Second
 )
@@ -32,7 +34,16 @@
 type instance struct {
 	platformtest.Instance
 	settingsPath string
-	process      *harness.Process
+
+	mu      sync.Mutex
+	process *harness.Process
+}
+
+// currentProcess returns the process that was started last.
+func (i *instance) currentProcess() *harness.Process {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.process
 }
 
 // deployment is a running system. The instances are separate processes; the store,
@@ -44,6 +55,8 @@
 	store      *platformtest.Store
 	link       *link.Proxy
 	replicas   []*platformtest.Replica
+	addresses  []string // of the replicas, through the links
+	shards     []string
 	instances  []*instance
 }
 
@@ -60,7 +73,6 @@
 	}
 	spec := link.Spec{Prefixes: map[string]string{"127.0.1.": "near", "127.0.2.": "far"}}
 	spec.Routes = append(spec.Routes, link.Route{Advertised: "127.0.0.1:0", Forward: d.store.Address(), Zone: "store"})
-	var names []string
 	addReplica := func(service string, zone string, body string) {
 		r := platformtest.NewReplica(t, fmt.Sprintf("%s-%s", service, zone), service, zone, body)
 		d.replicas = append(d.replicas, r)
@@ -71,7 +83,7 @@
 	}
 	for i := range shardCount {
 		name := fmt.Sprintf("x%d", i)
-		names = append(names, name)
+		d.shards = append(d.shards, name)
 		for _, z := range zones {
 			addReplica(name, z, shardBody(name))
 		}
@@ -82,16 +94,13 @@
 	}
 	t.Cleanup(d.link.Close)
 	addresses := d.link.Addresses()
-	for i, r := range d.replicas {
-		s := r.Spec("ready")
-		s["address"] = addresses[i+1]
-		d.store.Put(platformtest.KindReplicas, r.ID, s)
-	}
-	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(1, names...))
+	d.addresses = addresses[1:]
+	d.putReplicas()
+	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(1, d.shards...))
 	for z, zone := range zones {
 		for n := range instancesPerZone {
 			i := &instance{Instance: platformtest.NewInstance(t, fmt.Sprintf("%s-%d", zone, n), zone, fmt.Sprintf("127.0.%d.1", z+1))}
-			i.Contact, i.Grace, i.MaxInFlight, i.ExtraSettings = 2*time.Second, grace, 200, retrySettings
+			i.Contact, i.Grace, i.MaxInFlight, i.ExtraSettings = contact, grace, 200, retrySettings
 			i.settingsPath = filepath.Join(d.dir, i.Name+".ini")
 			i.WriteSettings(t, i.settingsPath, addresses[0])
 			d.instances = append(d.instances, i)
@@ -102,6 +111,15 @@
 	return d
 }
 
+// putReplicas writes the entries of all replicas.
+func (d *deployment) putReplicas() {
+	for i, r := range d.replicas {
+		s := r.Spec("ready")
+		s["address"] = d.addresses[i]
+		d.store.Put(platformtest.KindReplicas, r.ID, s)
+	}
+}
+
 // shardBody returns the records of a shard in descending order.
 func shardBody(shard string) string {
 	var b strings.Builder
@@ -120,7 +138,9 @@
 		d.t.Errorf("%s: %v", i.Name, err)
 		return
 	}
+	i.mu.Lock()
 	i.process = p
+	i.mu.Unlock()
 	for end := time.Now().Add(startTimeout); d.supervisor.Tail(i.Name) == "" && !p.HasEnded(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			d.t.Errorf("%s has logged nothing since its start", i.Name)
@@ -131,14 +151,14 @@
 
 // restartGracefully stops an instance within stopTimeout and starts it again.
 func (d *deployment) restartGracefully(i *instance) {
-	if err := harness.Stop(stopTimeout, i.process); err != nil {
+	if err := harness.Stop(stopTimeout, i.currentProcess()); err != nil {
 		d.t.Errorf("%s: stop: %v\n%s", i.Name, err, d.supervisor.Tail(i.Name))
 	}
 	d.startInstance(i)
 }
 
 func (d *deployment) killAndRestart(i *instance, down time.Duration) {
-	i.process.Kill()
+	i.currentProcess().Kill()
 	time.Sleep(down)
 	d.startInstance(i)
 }
@@ -150,8 +170,8 @@
 }
 
 func (d *deployment) signal(i *instance, sig syscall.Signal) {
-	if err := i.process.Signal(sig); err != nil && !i.process.HasEnded() {
-		d.t.Errorf("%s: %v: %v", i.Name, sig, err)
+	if p := i.currentProcess(); p.Signal(sig) != nil && !p.HasEnded() {
+		d.t.Errorf("%s: %v was not delivered", i.Name, sig)
 	}
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabsill/baobabsill/standin/harness"
 	"github.com/baobabsill/baobabsill/standin/link"
 )
 
@@ -73,7 +74,7 @@
 // the answers, the runs at the replicas and the recovery.
 func runSeed(t *testing.T, seed uint64) {
 	d := startDeployment(t)
-	l := &ledger{t: t, outcomes: map[string]int{}}
+	l := &ledger{t: t, outcomes: map[string]int{}, sentTo: map[string]*harness.Process{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var callersDone, faultsDone sync.WaitGroup
 	for n := range callerCount {
@@ -85,18 +86,24 @@
 	}
 	f.instanceLocks = make([]sync.Mutex, len(d.instances))
 	f.replicaLocks = make([]sync.Mutex, len(d.replicas))
+	limited := d.limitOne(rand.New(rand.NewPCG(seed, 3000)))
+	o := &operator{deployment: d, storeLock: &f.storeLock, version: 1}
+	go d.watchVersions(ctx)
 	end := time.Now().Add(faultDuration)
+	faultsDone.Go(func() { o.run(rand.New(rand.NewPCG(seed, 2000)), end) })
 	for n := range faultSeries {
 		faultsDone.Go(func() { f.injectSeries(rand.New(rand.NewPCG(seed, 1000+uint64(n))), end) })
 	}
 	faultsDone.Wait()
 	l.waitUntilServed(d)
+	o.waitUntilCurrent()
 	cancel()
 	callersDone.Wait()
 	l.checkRuns(d)
+	limited.check(t, l.sentTo)
 	for _, i := range d.instances {
-		if i.process.HasEnded() {
-			t.Errorf("%s ended by itself: %v\n%s", i.Name, i.process.Err(), d.supervisor.Tail(i.Name))
+		if p := i.currentProcess(); p.HasEnded() {
+			t.Errorf("%s ended by itself: %v\n%s", i.Name, p.Err(), d.supervisor.Tail(i.Name))
 		}
 	}
 	t.Logf("%d requests: %v; faults: %s", l.sent, l.outcomes, strings.Join(f.injected, ", "))
