Bound the head of replies on the first path too

They take 64 KB now. The case of TestCorruptReplyOnReusedConnection with a longer head failed before (the reply was taken).

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -28,6 +28,10 @@
 	evidenceBroken                  // broken connection or unusable answer
 )
 
+// maxReplyHeaderBytes bounds the head of one reply: a target in trouble may send bytes
+// without end.
+const maxReplyHeaderBytes = 64 << 10
+
 // reply is the classified result of one exchange.
 type reply struct {
 	result      outcome.Result
@@ -62,6 +66,8 @@
 			MaxIdleConns:        connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     90 * time.Second,
+
+			MaxResponseHeaderBytes: maxReplyHeaderBytes,
 		},
 	}
 }
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -48,6 +48,9 @@
 		"too large": {outcome.ReasonMalformed, func(r *http.Request, _ string) string {
 			return rawReply(r, 200, "2", "", answerBody(r, "2")+strings.Repeat(" ", 5000))
 		}},
+		"endless head": {outcome.ReasonTruncated, func(r *http.Request, _ string) string {
+			return rawReply(r, 200, "2", "X-A: "+strings.Repeat("a", 2*maxReplyHeaderBytes)+"\r\n", answerBody(r, "2"))
+		}},
 		"late": {outcome.ReasonTimeout, func(_ *http.Request, whole string) string {
 			time.Sleep(2 * time.Second)
 			return whole
