Lend requests to limited replicas between instances

Cause: shares of the limit are equal, callers are not spread equally.

Change: an instance that denies three requests to a replica within a second asks one with a share, ten times a second at most, for what it has left. Whole requests leave the lender's bucket, so that the sum stays; they lapse after half a second, so that they do not add up. The same question tells instances without a share that the limit was lifted. No request waits for an answer.

--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
@@ -29,6 +31,11 @@
 	return s.placement.Handover(ctx, req)
 }
 
+// BorrowTokens is not used: only replicas of the users' platform name rate limits.
+func (s peerService) BorrowTokens(context.Context, *peerpb.BorrowTokensRequest) (*peerpb.BorrowTokensReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "not used here")
+}
+
 // RunOnce runs an at-most-once request or looks up its outcome.
 func (s peerService) RunOnce(ctx context.Context, req *peerpb.RunOnceRequest) (*peerpb.RunOnceReply, error) {
 	return s.once.ServePeer(ctx, req), nil
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -124,13 +124,14 @@
 	instances := follow.NewFollower(d.logger, "daemons", d.link, d.store.Instances(), instanceSink, longWatchWait, instanceBatchDelay)
 	d.registrar = follow.NewRegistrar(d.logger, d.link, d.store, instanceSink, s.Name, catalog.Instance{Address: s.PeerListen, Zone: s.Zone})
 	d.peerConns = peer.NewConns(d.logger, source)
-	relay := follow.NewRelay(d.logger, d.link,
-		&peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns},
+	others := &peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns}
+	relay := follow.NewRelay(d.logger, d.link, others,
 		follow.MaxRelayAge(s.Contact),
 		config, replicas, evacuations, instances)
-	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerService{relay})
+	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerService{relay, d.forwarder})
 	d.components = append(d.components, replicaSink.Run, zoneSink.Run, instanceSink.Run, d.registrar.Run,
 		config.Run, replicas.Run, evacuations.Run, relay.Run, d.peerServer.Run,
+		func(ctx context.Context) error { return d.forwarder.RunBorrowing(ctx, others) },
 		func(ctx context.Context) error {
 			d.registrar.Register(ctx)
 			return instances.Run(ctx)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,12 +11,14 @@
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
 	"github.com/baobabsill/baobabsill/internal/follow"
+	"github.com/baobabsill/baobabsill/internal/forward"
 	"github.com/baobabsill/baobabsill/internal/peer"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
+	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
-// peers implements follow.Peers over the peer protocol. It names instances by their
-// peer addresses.
+// peers implements follow.Peers and forward.Lenders over the peer protocol. For
+// follow.Peers, it names instances by their peer addresses.
 type peers struct {
 	name, zone string
 	ownAddress string // for other instances
@@ -103,9 +105,54 @@
 	return a, nil
 }
 
+// BorrowTokens implements forward.Lenders. The instance is named by its name.
+func (p *peers) BorrowTokens(ctx context.Context, name string, requests []replica.LoanRequest) ([]replica.Loan, error) {
+	address := p.catalog.Load().Instances[name].Address
+	if address == "" {
+		return nil, nil // it has not registered an address yet
+	}
+	req := &peerpb.BorrowTokensRequest{}
+	for _, r := range requests {
+		req.Requests = append(req.Requests, &peerpb.TokenRequest{Replica: fromIncarnation(r.Incarnation), LiftedOnly: r.LiftedOnly})
+	}
+	reply, err := p.conns.Client(address).BorrowTokens(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	loans := make([]replica.Loan, len(reply.Grants))
+	for i, g := range reply.Grants {
+		loans[i] = replica.Loan{Incarnation: toIncarnation(g.Replica), Tokens: g.Tokens, Lifted: g.Lifted}
+	}
+	return loans, nil
+}
+
+func toIncarnation(r *peerpb.ReplicaIncarnation) replica.Incarnation {
+	return replica.Incarnation{ID: r.GetReplica(), StartedAt: r.GetStartedAt()}
+}
+
+func fromIncarnation(i replica.Incarnation) *peerpb.ReplicaIncarnation {
+	return &peerpb.ReplicaIncarnation{Replica: i.ID, StartedAt: i.StartedAt}
+}
+
 // peerService answers other instances. Instances on the users' platform use only
-// Fetch of the peer protocol.
-type peerService struct{ relay *follow.Relay }
+// Fetch and BorrowTokens of the peer protocol.
+type peerService struct {
+	relay     *follow.Relay
+	forwarder *forward.Forwarder
+}
+
+// BorrowTokens lends what this instance has left for limited replicas.
+func (s peerService) BorrowTokens(_ context.Context, req *peerpb.BorrowTokensRequest) (*peerpb.BorrowTokensReply, error) {
+	requests := make([]replica.LoanRequest, len(req.Requests))
+	for i, r := range req.Requests {
+		requests[i] = replica.LoanRequest{Incarnation: toIncarnation(r.Replica), LiftedOnly: r.LiftedOnly}
+	}
+	reply := &peerpb.BorrowTokensReply{}
+	for _, loan := range s.forwarder.Lend(requests) {
+		reply.Grants = append(reply.Grants, &peerpb.TokenGrant{Replica: fromIncarnation(loan.Incarnation), Tokens: loan.Tokens, Lifted: loan.Lifted})
+	}
+	return reply, nil
+}
 
 // Fetch returns what this instance has read from the store since the revisions of
 // the asking instance, and the age of that state.
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -17,7 +17,7 @@
 type metrics struct {
 	scope                                 tally.Scope
 	hedges, retries, repeatsWithoutBudget tally.Counter
-	missingShards                         tally.Counter
+	missingShards, loans                  tally.Counter
 	// toLimited counts the requests to replicas that have named a rate limit.
 	toLimited          [3]tally.Counter // by sendKind
 	latency, exchanges tally.Histogram
@@ -37,6 +37,7 @@
 		retries:              scope.Counter("retries"),
 		repeatsWithoutBudget: scope.Counter("repeats_without_budget"),
 		missingShards:        scope.Counter("missing_shards"),
+		loans:                scope.Counter("loans"),
 		latency:              scope.Histogram("request_seconds", latencyBuckets),
 		exchanges:            scope.Histogram("exchange_seconds", latencyBuckets),
 		answers:              map[Code]tally.Counter{},
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -1,6 +1,10 @@
 package forward
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
@@ -95,6 +99,17 @@
 	return n
 }
 
+// order returns the names, which have to be those of the ranking, in the order of a
+// replica.
+func (r ranking) order(replicaID string, names []string) []string {
+	replicaHash := xxhash.Sum64String(replicaID)
+	byHash := make(map[string]uint64, len(names))
+	for i, name := range names {
+		byHash[name] = mix(r.hashes[i] ^ replicaHash)
+	}
+	return slices.SortedFunc(maps.Keys(byHash), func(a, b string) int { return cmp.Compare(byHash[a], byHash[b]) })
+}
+
 // mix is the finalizer of SplitMix64: a change of one bit of x changes on average
 // half of the bits of the result.
 func mix(x uint64) uint64 {
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -186,6 +186,7 @@
 	}
 	if b.rateLimit.named {
 		if until := b.rateLimit.nextAt(now, t.RateShare); until.After(now) {
+			b.rateLimit.noteDenial(now)
 			return nil, Denial{Reason: "rate limit", Until: until}
 		}
 	}
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -13,9 +13,9 @@
 	// at once: burstTime of the limit, plus burstBase.
 	burstTime = time.Second
 	burstBase = 2
-	// probeShare is the part of the limit that the instances without a share use, to
-	// notice that the limit is lifted.
-	probeShare = 0.2
+	// probeShare is the part of the limit that the instances without a share use beyond
+	// what they borrow, to notice that the limit is lifted.
+	probeShare = 0.05
 	// probeWindow is how long the permission for such a request holds. It lapses
 	// unused, so that instances without traffic do not all send at once later.
 	probeWindow = time.Second
@@ -34,11 +34,12 @@
 // rateLimit is the rate limit that a replica has named in its answers, and the part of
 // it that this instance has left. It is in force while named is set.
 //
-// The instances keep the limit without messages: each of the first ones in the order
+// Each of the first instances in the order
 // of the replica has an equal share, as a token bucket. Their number is limited such
 // that every bucket holds at least one request and all buckets together at most the
-// burst. The others send a request now and then, see probeShare. The Backend's lock
-// guards all fields.
+// burst. An instance that is denied borrows what others have left, see Pool.Lend; the
+// instances without a share also send a request now and then, see probeShare. The
+// Backend's lock guards all fields.
 type rateLimit struct {
 	named     bool
 	perSecond float64   // over all instances
@@ -47,8 +48,12 @@
 
 	tokens     float64 // requests that may be sent now
 	refilledAt time.Time
-	probeAt    time.Time // start of the next probeWindow; zero until one is drawn
-	offered    time.Time // latest time at which a refused caller was told to come back
+	borrowed   float64                    // requests that other instances have lent
+	lapsesAt   time.Time                  // when borrowed can no longer be used
+	denials    [denialsToBorrow]time.Time // when requests were last denied, the latest first
+	askedAt    time.Time                  // when another instance was last asked whether the limit was lifted
+	probeAt    time.Time                  // start of the next probeWindow; zero until one is drawn
+	offered    time.Time                  // latest time at which a refused caller was told to come back
 }
 
 // observe takes in what an answer states. started is when its exchange started, now
@@ -86,28 +91,44 @@
 // bucket returns the share of this instance, in requests per second, and the size of
 // its bucket. Both are 0 if it has no share.
 func (l *rateLimit) bucket(share RateShare) (perSecond, size float64) {
-	burst := l.rate()*burstTime.Seconds() + burstBase
-	holders := min(burst, float64(max(share.Senders, 1)))
-	holders = float64(int(holders))
-	if float64(share.Rank) >= holders {
+	holders := l.holders(share.Senders)
+	if share.Rank >= holders {
 		return 0, 0
 	}
-	return l.rate() / holders, burst / holders
+	return l.rate() / float64(holders), l.burst() / float64(holders)
+}
+
+// burst returns the requests that all instances together may send at once.
+func (l *rateLimit) burst() float64 { return l.rate()*burstTime.Seconds() + burstBase }
+
+// holders returns how many of the senders have a share.
+func (l *rateLimit) holders(senders int) int {
+	return int(min(l.burst(), float64(max(senders, 1))))
 }
 
 // nextAt returns the earliest time at which the limit admits a request; now or earlier
 // if it admits one now.
 func (l *rateLimit) nextAt(now time.Time, share RateShare) time.Time {
+	if now.After(l.lapsesAt) {
+		l.borrowed = 0
+	}
 	perSecond, size := l.bucket(share)
+	l.refill(now, perSecond, size)
+	if l.tokens+l.borrowed >= 1 {
+		return now
+	}
 	if perSecond == 0 {
 		if l.probeAt.IsZero() || now.After(l.probeAt.Add(probeWindow)) {
 			l.drawProbe(now, share)
 		}
 		return l.probeAt
 	}
+	return now.Add(secondsToDuration((1 - l.tokens - l.borrowed) / perSecond))
+}
+
+func (l *rateLimit) refill(now time.Time, perSecond, size float64) {
 	l.tokens = min(l.tokens+perSecond*now.Sub(l.refilledAt).Seconds(), size)
 	l.refilledAt = now
-	return now.Add(secondsToDuration(max(1-l.tokens, 0) / perSecond))
 }
 
 // drawProbe sets the next time at which an instance without a share may send.
@@ -119,11 +140,13 @@
 // take counts a request that nextAt has admitted.
 func (l *rateLimit) take(now time.Time, share RateShare) {
 	l.sent++
-	if perSecond, _ := l.bucket(share); perSecond == 0 {
+	if perSecond, _ := l.bucket(share); perSecond == 0 && l.tokens+l.borrowed < 1 {
 		l.drawProbe(now, share)
 		return
 	}
-	l.tokens--
+	used := min(l.borrowed, 1)
+	l.borrowed -= used
+	l.tokens -= 1 - used
 }
 
 // refund gives back a request that was counted but not sent.
@@ -135,6 +158,7 @@
 // retryAfter returns the delay after which a refused caller may come back. Each gets
 // a later one than the caller before, as far apart as the limit admits requests.
 func (l *rateLimit) retryAfter(now time.Time, share RateShare) time.Duration {
+	l.noteDenial(now)
 	perSecond, _ := l.bucket(share)
 	next := l.nextAt(now, share)
 	if perSecond == 0 {
