--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -34,12 +34,11 @@
 // rateLimit is the rate limit that a replica has named in its answers, and the part of
 // it that this instance has left. It is in force while named is set.
 //
-// Each of the first instances in the order
-// of the replica has an equal share, as a token bucket. Their number is limited such
-// that every bucket holds at least one request and all buckets together at most the
-// burst. An instance that is denied borrows what others have left, see Pool.Lend; the
-// instances without a share also send a request now and then, see probeShare. The
-// Backend's lock guards all fields.
+// Each of the first instances in the rendezvous order of the replica has an equal share,
+// as a token bucket. Their number is limited such that every bucket holds at least one
+// request and all buckets together at most the burst. An instance that denies requests
+// borrows what others have left, see Pool.Lend. The instances without a share also send
+// a request now and then, see probeShare. The Backend's lock guards all fields.
 type rateLimit struct {
 	named     bool
 	perSecond float64   // over all instances
@@ -149,8 +148,12 @@
 	l.tokens -= 1 - used
 }
 
-// refund gives back a request that was counted but not sent.
+// refund gives back a request that was counted but not sent, unless the limit was lifted
+// meanwhile.
 func (l *rateLimit) refund() {
+	if !l.named {
+		return
+	}
 	l.sent--
 	l.tokens++
 }
--- a/internal/replica/ratelimit_test.go
+++ b/internal/replica/ratelimit_test.go
@@ -61,3 +61,18 @@
 		t.Error("a restarted replica has the limit of its earlier incarnation")
 	}
 }
+
+// Guards against requests that are counted as left over from an earlier limit: an
+// exchange that was not sent gives back its request only while the limit is in force.
+func TestRefundEndsWithTheRateLimit(t *testing.T) {
+	start := time.Now()
+	var l rateLimit
+	l.observe(start, start, RateLimit{RateLimitNamed, 2})
+	l.take(start.Add(time.Second), RateShare{Senders: 1})
+	l.observe(start.Add(2*time.Second), start.Add(time.Second), RateLimit{Statement: RateLimitAbsent})
+	l.refund()
+	l.observe(start.Add(3*time.Second), start.Add(3*time.Second), RateLimit{RateLimitNamed, 2})
+	if l.tokens != 0 || l.sent != 0 {
+		t.Errorf("a new limit starts with %g requests left and %d sent, want none", l.tokens, l.sent)
+	}
+}
