--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -102,7 +102,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if revision.Era > l.era {
-		if l.era > 0 {
+		if !l.revision.IsZero() {
 			l.returnedAt, l.restoredAt = time.Now(), time.Now()
 			l.logger.Warn().Str("event", "store restored").Int64("era", revision.Era).Int64("revision", revision.Number).
 				Str("known", l.revision.String()).Msg("the store has come back from a copy; its revisions start again")
@@ -117,7 +117,8 @@
 }
 
 // awaitMissedRevision waits until an answer has named a later revision than since,
-// and then for watchLagLimit, unless the revision is of a later era. It reports false if done is closed before that.
+// and then for watchLagLimit, unless the revision is of a later era. It reports false
+// if done is closed before that.
 func (l *Link) awaitMissedRevision(done <-chan struct{}, since Revision) bool {
 	for {
 		l.mu.Lock()
@@ -250,10 +251,11 @@
 	return l.callUnpaused(ctx, kind, f)
 }
 
-// callUnpaused runs f, which calls the store. If the link is lost, it waits for the probe token and the backoff, and runs f with
-// probeTimeout; if the link changes before it has the token, it returns
-// errLinkChanged. If the link is not lost, it cancels f when another call finds
-// the link lost, because an unresponsive store would hold f for its whole wait.
+// callUnpaused runs f, which calls the store. If the link is lost, it waits for the
+// probe token and the backoff, and runs f with probeTimeout; if the link changes before
+// it has the token, it returns errLinkChanged. If the link is not lost, it cancels f
+// when another call finds the link lost, because an unresponsive store would hold f for
+// its whole wait.
 func (l *Link) callUnpaused(ctx context.Context, kind string, f func(ctx context.Context) error) error {
 	lost, changed := l.state()
 	if !lost {
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// Guards against a store whose first restore goes unnoticed, whatever number its eras
+// start with, and against a start that counts as a restore.
+func TestFirstRestoreIsNoticed(t *testing.T) {
+	for _, first := range []int64{0, 1, 7} {
+		link := NewLink(logs.OrDiscard(nil))
+		link.noteRevision(Revision{first, 5})
+		if !link.RestoredAt().IsZero() {
+			t.Errorf("the first answer, of era %d, counts as a restore", first)
+		}
+		link.noteRevision(Revision{first + 1, 3})
+		if link.RestoredAt().IsZero() {
+			t.Errorf("a restore after era %d was not noticed", first)
+		}
+	}
+}
+
 // Guards against a relay across the moment at which the store comes back from a copy:
 // an instance that did not notice takes what one that did has read, and does not bring
 // the earlier state back to it.
