--- a/internal/ctl/edges_test.go
+++ b/internal/ctl/edges_test.go
@@ -29,7 +29,7 @@
 	}
 	code := Run(t.Context(), env, []string{"edges", "--store", store.Address(), "--instances", "10.0.0.1:9464"})
 	output := out.String()
-	for _, want := range []string{"configuration version 7", "evacuated: west", "s-1", "draining", "behind", "other evacuations than the store"} {
+	for _, want := range []string{"configuration version 7", "evacuated: west", "s-1", "draining", "behind", "other evacuations than the store", "knows era 0 of the store, which is in 1"} {
 		if !strings.Contains(output, want) {
 			t.Errorf("no %q in:\n%s", want, output)
 		}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -88,7 +88,7 @@
 	f.replicaLocks = make([]sync.Mutex, len(d.replicas))
 	limited := d.limitOne(rand.New(rand.NewPCG(seed, 3000)))
 	o := &operator{deployment: d, storeLock: &f.storeLock, version: 1}
-	go d.watchVersions(ctx)
+	callersDone.Go(func() { d.watchVersions(ctx) })
 	end := time.Now().Add(faultDuration)
 	faultsDone.Go(func() { o.run(rand.New(rand.NewPCG(seed, 2000)), end) })
 	for n := range faultSeries {
