--- a/internal/forward/borrow.go
+++ b/internal/forward/borrow.go
@@ -83,6 +83,9 @@
 // Lend answers a request of another instance for loans.
 func (f *Forwarder) Lend(requests []replica.LoanRequest) (loans []replica.Loan) {
 	view, now := f.currentView(), time.Now()
+	if view.snap.Config == nil {
+		return nil // it has no share of any limit yet
+	}
 	for _, request := range requests[:min(len(requests), maxReplicasPerLoan)] {
 		r, listed := view.snap.Replica(request.ID)
 		if !listed {
--- a/internal/forward/ratelimit_test.go
+++ b/internal/forward/ratelimit_test.go
@@ -233,6 +233,15 @@
 	}
 }
 
+// Guards against an instance that panics when it is asked for a loan before it knows the
+// configuration: other instances know it from before its restart.
+func TestLoanIsAskedForBeforeTheConfigurationIsKnown(t *testing.T) {
+	h := newHarness("s/near")
+	if loans := h.Lend([]replica.LoanRequest{{Incarnation: replica.Incarnation{ID: "s/near"}}}); len(loans) != 0 {
+		t.Errorf("%+v lent, want nothing", loans)
+	}
+}
+
 // BenchmarkRateShare measures how long an instance takes to find its place among the
 // senders of a limited replica, which it does for each request that may go to one.
 func BenchmarkRateShare(b *testing.B) {
