Use one ticker loop for what runs at intervals

The sinks that hold entries had one, borrowing another, and the janitor of at-most-once records a third of the same shape. lifecycle.Every serves them all. No change of behaviour.

--- a/internal/follow/instances.go
+++ b/internal/follow/instances.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 )
 
 // instanceHold is how long after the store has come back from a copy the instances that
@@ -66,7 +67,7 @@
 
 // Run ends the holds, until ctx ends.
 func (s *InstanceSink) Run(ctx context.Context) error {
-	return runTicks(ctx, time.Second, func(now time.Time) {
+	return lifecycle.Every(ctx, time.Second, func(now time.Time) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.listed.expire(now) {
--- a/internal/follow/replicas.go
+++ b/internal/follow/replicas.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 )
 
 // lapseHold is how long after the end of an outage of the store missing entries are
@@ -80,7 +81,7 @@
 
 // Run removes the entries whose hold has ended, until ctx ends.
 func (s *ReplicaSink) Run(ctx context.Context) error {
-	return runTicks(ctx, lapseCheckInterval, s.expire)
+	return lifecycle.Every(ctx, lapseCheckInterval, s.expire)
 }
 
 func (s *ReplicaSink) expire(now time.Time) {
@@ -162,17 +163,3 @@
 	s.removed[id] = removal{r.StartedAt, r.Sequence, time.Now()}
 	s.logger.Info().Str("event", "replica gone").Str("replica", id).Str("service", r.Service).Msg("replica removed")
 }
-
-// runTicks calls f at intervals until ctx ends.
-func runTicks(ctx context.Context, interval time.Duration, f func(now time.Time)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f(now)
-		}
-	}
-}
--- a/internal/follow/zones.go
+++ b/internal/follow/zones.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/catalog"
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 )
 
 // ZoneSink keeps the set of evacuated zones in the catalog. An evacuation that is
@@ -58,7 +59,7 @@
 
 // Run ends the holds, until ctx ends.
 func (s *ZoneSink) Run(ctx context.Context) error {
-	return runTicks(ctx, lapseCheckInterval, func(now time.Time) {
+	return lifecycle.Every(ctx, lapseCheckInterval, func(now time.Time) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.zones.expire(now) {
--- a/internal/forward/borrow.go
+++ b/internal/forward/borrow.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
@@ -28,16 +29,7 @@
 // ends. Traffic is uneven and shares are equal, so that some instances have tokens left
 // while others refuse callers.
 func (f *Forwarder) RunBorrowing(ctx context.Context, lenders Lenders) error {
-	ticker := time.NewTicker(borrowInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f.borrow(ctx, lenders, now)
-		}
-	}
+	return lifecycle.Every(ctx, borrowInterval, func(now time.Time) { f.borrow(ctx, lenders, now) })
 }
 
 // borrow asks one instance, which has a share of a replica whose limit denies requests.
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
@@ -34,3 +35,17 @@
 	cancel()
 	return errs.Combine(err, group.Wait())
 }
+
+// Every calls f at intervals until ctx ends.
+func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
--- a/internal/once/janitor.go
+++ b/internal/once/janitor.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/lifecycle"
 )
 
 // cleanupInterval is short compared to KeyLifetime, and long enough that listing
@@ -28,18 +30,11 @@
 
 // Run reconciles until ctx ends.
 func (c *JanitorController) Run(ctx context.Context) error {
-	ticker := time.NewTicker(cleanupInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return lifecycle.Every(ctx, cleanupInterval, func(time.Time) {
 		if c.isLeader() {
 			c.reconcile(ctx, time.Now())
 		}
-	}
+	})
 }
 
 func (c *JanitorController) reconcile(ctx context.Context, now time.Time) {
