--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -43,7 +43,6 @@
 	lostChanged      chan struct{} // closed when lost changes
 	revision         Revision      // latest that any answer of the store named
 	revisionAdvanced chan struct{} // closed when revision grows
-	era              int64         // latest of the store
 	restoredAt       time.Time     // when a later era was first noticed
 	// confirmedAt is when the store last answered this instance, or another one
 	// that relayed the answer.
@@ -94,26 +93,24 @@
 func (l *Link) Era() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.era
+	return l.revision.Era
 }
 
 // noteRevision records the revision that an answer of the store named.
 func (l *Link) noteRevision(revision Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision.Era > l.era {
-		if !l.revision.IsZero() {
-			l.returnedAt, l.restoredAt = time.Now(), time.Now()
-			l.logger.Warn().Str("event", "store restored").Int64("era", revision.Era).Int64("revision", revision.Number).
-				Str("known", l.revision.String()).Msg("the store has come back from a copy; its revisions start again")
-		}
-		l.era = revision.Era
+	if !l.revision.Before(revision) {
+		return
 	}
-	if l.revision.Before(revision) {
-		l.revision = revision
-		close(l.revisionAdvanced)
-		l.revisionAdvanced = make(chan struct{})
+	if revision.Era > l.revision.Era && !l.revision.IsZero() {
+		l.returnedAt, l.restoredAt = time.Now(), time.Now()
+		l.logger.Warn().Str("event", "store restored").Int64("era", revision.Era).Int64("revision", revision.Number).
+			Str("known", l.revision.String()).Msg("the store has come back from a copy; its revisions start again")
 	}
+	l.revision = revision
+	close(l.revisionAdvanced)
+	l.revisionAdvanced = make(chan struct{})
 }
 
 // awaitMissedRevision waits until an answer has named a later revision than since,
--- a/internal/forward/limited.go
+++ b/internal/forward/limited.go
@@ -7,10 +7,6 @@
 	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
-// reasonRateLimit is the reason of shards and refusals for which the rate limits of the
-// replicas leave no room.
-const reasonRateLimit = "rate limit"
-
 // latestStart is the latest time at which an exchange of a shard may start that waits
 // for the rate limit of a replica.
 func (r *activeRequest) latestStart(sh *shard) time.Time {
@@ -23,12 +19,17 @@
 	return earlier(r.start.Add(r.route.Objective/4), r.deadline)
 }
 
-// retryTime returns when a replica that denied a request is asked again.
-func retryTime(d replica.Denial, now time.Time) time.Time {
-	if at := now.Add(busyDelay); !d.Until.After(at) {
+// nextTry returns when candidates are asked again of which one more has denied a request.
+// next is that time without it; zero if it is the first.
+func nextTry(next time.Time, d replica.Denial, now time.Time) time.Time {
+	at := now.Add(busyDelay)
+	if d.Until.After(at) {
+		at = d.Until
+	}
+	if next.IsZero() {
 		return at
 	}
-	return d.Until
+	return earlier(next, at)
 }
 
 // noteLimited records that the rate limit of a candidate admits nothing until a time.
@@ -58,7 +59,7 @@
 				servable++
 				continue
 			}
-			sh.closed, sh.reason = true, reasonRateLimit
+			sh.closed, sh.reason = true, replica.ReasonRateLimit
 			for _, c := range list {
 				sh.noteLimited(c, c.rateLimitedUntil)
 			}
@@ -94,5 +95,5 @@
 		return refusal(reason, delay)
 	}
 	last := limited[needed-1]
-	return refusal(reasonRateLimit, max(delay, last.backend.RetryAfter(time.Now(), last.rateShare)))
+	return refusal(replica.ReasonRateLimit, max(delay, last.backend.RetryAfter(time.Now(), last.rateShare)))
 }
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
 // costSpread is the range of the random increase of the cost of overloaded shards,
@@ -34,7 +36,7 @@
 				overloaded = append(overloaded, overloadedShard{i, latency.Seconds() * (1 + costSpread*rand.Float64())})
 				sh.closed, sh.reason = true, "overloaded"
 				if !slices.ContainsFunc(list, func(c candidate) bool { return c.rateLimitedUntil.IsZero() }) {
-					sh.reason = reasonRateLimit
+					sh.reason = replica.ReasonRateLimit
 				}
 				continue
 			}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -48,9 +48,7 @@
 		permit, denial := r.acquirePermit(c, now)
 		if permit == nil {
 			sh.reason = denial.Reason
-			if at := retryTime(denial, now); next.IsZero() || at.Before(next) {
-				next = at
-			}
+			next = nextTry(next, denial, now)
 			if !denial.Until.IsZero() {
 				sh.noteLimited(c, denial.Until)
 			}
@@ -197,9 +195,7 @@
 	for n, c := range list {
 		permit, denial := r.acquirePermit(c, now)
 		if permit == nil {
-			if at := retryTime(denial, now); next.IsZero() || at.Before(next) {
-				next = at
-			}
+			next = nextTry(next, denial, now)
 			continue
 		}
 		r.f.metrics.hedges.Inc(1)
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -49,12 +49,11 @@
 		return v
 	}
 	shares := options.Shares
-	ranks := newRanking(shares.Self, snap.InstanceNames)
-	v.ranks = ranks
+	v.ranks = newRanking(shares.Self, snap.InstanceNames)
 	for name := range snap.Config.RouteByService() {
 		var list []usableReplica
 		for _, r := range snap.Replicas(name) {
-			if r.Draining || snap.IsEvacuated(r.Zone) || !shares.sendsTo(snap, ranks, r) {
+			if r.Draining || snap.IsEvacuated(r.Zone) || !shares.sendsTo(snap, v.ranks, r) {
 				continue
 			}
 			list = append(list, usableReplica{
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -166,6 +166,9 @@
 	RateShare RateShare
 }
 
+// ReasonRateLimit is the reason of a denial for the rate limit of the replica.
+const ReasonRateLimit = "rate limit"
+
 // Denial says why nothing may be sent to a replica now.
 type Denial struct {
 	Reason string
@@ -187,7 +190,7 @@
 	if b.rateLimit.named {
 		if until := b.rateLimit.nextAt(now, t.RateShare); until.After(now) {
 			b.rateLimit.noteDenial(now)
-			return nil, Denial{Reason: "rate limit", Until: until}
+			return nil, Denial{Reason: ReasonRateLimit, Until: until}
 		}
 	}
 	if now.Before(t.ColdUntil) || now.Before(b.warmupEnd) {
