--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -123,17 +122,6 @@
 	})
 }
 
-// startReplicaSink returns a sink whose store has come back from a copy after it listed
-// the replicas of before.
-func startReplicaSink(ctx context.Context, before ...Item[catalog.Replica]) (*ReplicaSink, *catalog.Store, *Link) {
-	store, link := catalog.NewStore(time.Second), NewLink(logs.OrDiscard(nil))
-	sink := NewReplicaSink(logs.OrDiscard(nil), store, link)
-	go sink.Run(ctx) //nolint:errcheck // ends with ctx
-	link.noteRevision(Revision{1, 5})
-	sink.Replace(before)
-	return sink, store, link
-}
-
 // Guards against requests to replicas that have left: a copy from which the store comes
 // back still lists them. A replica that reports again is used, also if its entry was
 // removed while it lived. Guards also against the loss of replicas that the copy lacks.
@@ -143,7 +131,11 @@
 		report := func(id string, sequence int64) Item[catalog.Replica] {
 			return Item[catalog.Replica]{Name: id, Valid: true, Value: catalog.Replica{ID: id, Service: "s", StartedAt: 1, Sequence: sequence}}
 		}
-		sink, store, link := startReplicaSink(ctx, report("left", 4), report("new", 1))
+		store, link := catalog.NewStore(time.Second), NewLink(logs.OrDiscard(nil))
+		sink := NewReplicaSink(logs.OrDiscard(nil), store, link)
+		go sink.Run(ctx) //nolint:errcheck // ends with ctx
+		link.noteRevision(Revision{1, 5})
+		sink.Replace([]Item[catalog.Replica]{report("left", 4), report("new", 1)})
 		listed := func(id string) bool { _, ok := store.Load().Replica(id); return ok }
 		sink.Apply([]Change[catalog.Replica]{{Item: Item[catalog.Replica]{Name: "left"}, Deleted: true}})
 		time.Sleep(time.Second)
@@ -199,27 +191,18 @@
 
 // fakeRegistry counts registrations.
 type fakeRegistry struct {
-	mu                       sync.Mutex
-	registered, deregistered int
-	unavailable              bool
+	mu         sync.Mutex
+	registered int
 }
 
 func (r *fakeRegistry) Register(context.Context, string, catalog.Instance) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unavailable {
-		return false, errors.New("unavailable")
-	}
 	r.registered++
 	return true, nil
 }
 
-func (r *fakeRegistry) Deregister(context.Context, string) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.deregistered++
-	return nil
-}
+func (r *fakeRegistry) Deregister(context.Context, string) error { return nil }
 
 func (r *fakeRegistry) count() int {
 	r.mu.Lock()
