--- a/internal/control/placement_test.go
+++ b/internal/control/placement_test.go
@@ -148,9 +148,17 @@
 			}
 			n.pool.AdoptLoad(state.Load{Target: "t0", Phase: state.PhaseWarm, Limit: 2, Incarnation: "1"})
 			n.pool.AdoptLoad(state.Load{Target: cold, Phase: state.PhaseCold, Limit: 1, Incarnation: "1"})
-			time.Sleep(time.Second)
+			// Heartbeats are sent at the same instants by all instances. A crash at one
+			// of them may come before or after its heartbeat.
+			time.Sleep(time.Second + heartbeatInterval/5)
 			w.crash(n)
 		}
+		crashed := time.Now()
+		for _, n := range survivors {
+			if age := crashed.Sub(n.leases.Evidence().Granted[holder]); age > heartbeatInterval/2 {
+				t.Fatalf("%s granted the holder its lease %v before the crash", n.self.Name, age)
+			}
+		}
 		p.setDown("", true)
 		provisional := func(target string) (names []string) {
 			for _, n := range survivors {
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -86,16 +86,30 @@
 }
 
 // Guards against a closed connection that keeps its slot, and against a request
-// of the same sender that counts as overload because the target notices it before
-// the close.
-// The service time is far above the delays of a busy machine, so that the target
-// cannot answer before it sees the cancellation.
+// of the same sender that counts as overload although the slot is free. The sender
+// cancels once its request runs; a request that ran to its end is not cancelled.
 func TestCancellationFreesTheSlot(t *testing.T) {
-	tg := startTarget(t, Behaviour{Slots: 1, BearsCold: 1, Connections: 9, ServiceMS: 200, ColdRequests: 1000, OverloadMS: 50})
-	for range 20 {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
-		send(ctx, tg, "/search", "v1", longDeadline())
+	const serviceTime = 400 * time.Millisecond
+	tg := startTarget(t, Behaviour{Slots: 1, BearsCold: 1, Connections: 9, ServiceMS: float64(serviceTime.Milliseconds()), ColdRequests: 1000, OverloadMS: 50})
+	eventually := func(what string, f func(Counts) bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); !f(tg.Counts()); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("never %s: %+v", what, tg.Counts())
+			}
+		}
+	}
+	for n := range int64(20) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			send(ctx, tg, "/search", "v1", longDeadline())
+		}()
+		eventually("running", func(c Counts) bool { return c.Started == 2*n+1 })
 		cancel()
+		<-ended
+		eventually("cancelled", func(c Counts) bool { return c.Cancelled == n+1 })
 		if code, outcome, _ := send(context.Background(), tg, "/search", "v1", longDeadline()); code != 200 {
 			t.Fatalf("%d %s after a cancellation: %+v", code, outcome, tg.Counts())
 		}
