Keep to what replicas say of leaving and of pauses

Both were read nowhere: such a replica went on getting requests until the store's entry said draining, and rejections led to an ejection of 0.3 to 3 s.

Any answer but 421 counts (that one comes from another replica at the address); for leaving also an answer to another attempt, which the same process has sent. Both outlive the entry of the replica, and end with the incarnation. Requests go to another replica, or are refused at once with a Retry-After that is true and spread. The longest time that an answer named holds. Log events "leaving" and "paused", two counters, notes of baobabsillctl edges, groups of explain.

--- a/internal/ctl/edges.go
+++ b/internal/ctl/edges.go
@@ -188,6 +188,12 @@
 		if r.Ejected {
 			notes = append(notes, r.ID+" ejected")
 		}
+		if r.Leaving {
+			notes = append(notes, r.ID+" leaving")
+		}
+		if r.PausedMS > 0 {
+			notes = append(notes, fmt.Sprintf("%s paused for %d ms", r.ID, r.PausedMS))
+		}
 		if r.RateLimit != nil {
 			notes = append(notes, fmt.Sprintf("%s limited to %g/s", r.ID, r.RateLimit.PerSecond))
 		}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -42,9 +42,12 @@
 	"start": "start", "reload": "reload", "ready": "ready", "stop": "stop",
 	"configuration in force": "configuration", "daemons": "daemons", "evacuation": "evacuation",
 	"store restored": "era", "store lost": "store", "store regained": "store", "lines dropped": "lines",
-	"rate limit": "rate limit", "replica": "replica", "replica gone": "replica",
+	"rate limit": "rate limit", "leaving": "leaving", "paused": "paused", "replica": "replica", "replica gone": "replica",
 }
 
+// statesOfReplicas are the groups whose events concern one replica.
+var statesOfReplicas = map[string]bool{"replica": true, "rate limit": true, "leaving": true, "paused": true}
+
 // explain collects the lines of a request from log files; "-" is standard input.
 func explain(env Env, id string, paths []string) Result {
 	e := &Explanation{RequestID: id}
@@ -69,7 +72,7 @@
 			Errors: []string{"it reached no instance, its lines were dropped (event \"lines dropped\"), or the log of its instance is missing"}}
 	}
 	e.Known = slices.DeleteFunc(e.Known, func(l LogLine) bool {
-		return (stateEventGroups[l.Event] == "replica" || l.Event == "rate limit") && !e.isRelevant(l)
+		return statesOfReplicas[stateEventGroups[l.Event]] && !e.isRelevant(l)
 	})
 	return Result{Outcome: OK, Message: e.conclusion(), Explanation: e}
 }
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -46,9 +46,10 @@
 	cost, loadedLatency time.Duration
 	ejected             bool
 	rateShare           replica.RateShare
-	// rateLimitedUntil is the earliest time at which the replica's rate limit admits
-	// a request; zero if it admits one now. The wait is part of cost and loadedLatency.
-	rateLimitedUntil time.Time
+	// admitsFrom is the earliest time at which the replica's rate limit and its pause
+	// admit a request; zero if they admit one now. The wait is part of cost and
+	// loadedLatency.
+	admitsFrom time.Time
 }
 
 // candidates returns the replicas of a service that may get a request, in order
@@ -59,7 +60,7 @@
 	list := make([]candidate, 0, len(usable))
 	for _, s := range usable {
 		r := s.replica
-		if !route.AllowsRegion(s.region) || s.backend.AddressTaken() {
+		if !route.AllowsRegion(s.region) || s.backend.Retired() {
 			continue
 		}
 		c := candidate{replica: r, backend: s.backend, coldLimit: s.coldLimit}
@@ -72,10 +73,10 @@
 		costFactor, loadFactor := c.backend.Cost(now)
 		c.cost, c.loadedLatency = time.Duration(costFactor*float64(c.expected)), time.Duration(loadFactor*float64(c.expected))
 		c.ejected = c.backend.Ejected(now)
-		if c.backend.Limited() {
+		if c.backend.Restricted() {
 			c.rateShare = view.rateShare(r)
-			if c.rateLimitedUntil = c.backend.RateLimitedUntil(now, c.rateShare); !c.rateLimitedUntil.IsZero() {
-				wait := c.rateLimitedUntil.Sub(now)
+			if c.admitsFrom = c.backend.AdmitsFrom(now, c.rateShare); !c.admitsFrom.IsZero() {
+				wait := c.admitsFrom.Sub(now)
 				c.cost, c.loadedLatency = c.cost+wait, c.loadedLatency+wait
 			}
 		}
--- a/internal/forward/limited.go
+++ b/internal/forward/limited.go
@@ -19,6 +19,10 @@
 	return r.refusalDeadline()
 }
 
+// reasonRestricted is why a shard is closed whose replicas have all named a rate limit or
+// a pause and admit nothing in time.
+const reasonRestricted = "replicas limited or paused"
+
 // nextTry returns when candidates are asked again of which one more has denied a request.
 // next is that time without it; zero if it is the first.
 func nextTry(next time.Time, d replica.Denial, now time.Time) time.Time {
@@ -32,22 +36,23 @@
 	return earlier(next, at)
 }
 
-// noteLimited records that the rate limit of a candidate admits nothing until a time.
+// noteLimited records that the rate limit or the pause of a candidate admits nothing
+// until a time.
 func (sh *shard) noteLimited(c candidate, until time.Time) {
-	if sh.limitedBy == nil || until.Before(sh.limitedBy.rateLimitedUntil) {
-		c.rateLimitedUntil = until
+	if sh.limitedBy == nil || until.Before(sh.limitedBy.admitsFrom) {
+		c.admitsFrom = until
 		sh.limitedBy = &c
 	}
 }
 
 // closeUnservableShards closes the shards that have no usable replica, or only replicas
-// whose rate limits admit nothing in time. It returns the number of the other shards.
+// whose rate limits and pauses admit nothing in time. It returns the number of the other shards.
 func (r *activeRequest) closeUnservableShards(now time.Time) (servable int) {
 	services := r.f.currentView().services
 	for i := range r.shards {
 		sh := &r.shards[i]
-		allowed := func(s usableReplica) bool { return r.route.AllowsRegion(s.region) }
-		unlimited := func(s usableReplica) bool { return allowed(s) && !s.backend.Limited() }
+		allowed := func(s usableReplica) bool { return r.route.AllowsRegion(s.region) && !s.backend.Retired() }
+		unlimited := func(s usableReplica) bool { return allowed(s) && !s.backend.Restricted() }
 		switch {
 		case !slices.ContainsFunc(services[sh.service], allowed):
 			sh.closed, sh.reason = true, "no replica"
@@ -59,24 +64,24 @@
 				servable++
 				continue
 			}
-			sh.closed, sh.reason = true, replica.ReasonRateLimit
+			sh.closed, sh.reason = true, reasonRestricted
 			for _, c := range list {
-				sh.noteLimited(c, c.rateLimitedUntil)
+				sh.noteLimited(c, c.admitsFrom)
 			}
 		}
 	}
 	return servable
 }
 
-// allLimited reports whether the rate limits of all candidates admit nothing until after
-// latestStart. It is false without candidates.
+// allLimited reports whether the rate limits and pauses of all candidates admit nothing
+// until after latestStart. It is false without candidates.
 func (r *activeRequest) allLimited(sh *shard, list []candidate) bool {
 	latest := r.latestStart(sh)
-	return len(list) > 0 && !slices.ContainsFunc(list, func(c candidate) bool { return !c.rateLimitedUntil.After(latest) })
+	return len(list) > 0 && !slices.ContainsFunc(list, func(c candidate) bool { return !c.admitsFrom.After(latest) })
 }
 
-// refuse refuses the request. If rate limits are the reason, the caller is told to come
-// back when they admit the shards that the answer needs.
+// refuse refuses the request. If rate limits or pauses are the reason, the caller is told
+// to come back when they admit the shards that the answer needs.
 func (r *activeRequest) refuse(reason string) Answer {
 	delay := RetryAfter(r.route.Objective)
 	var limited []*candidate
@@ -89,11 +94,14 @@
 			open++
 		}
 	}
-	slices.SortFunc(limited, func(a, b *candidate) int { return a.rateLimitedUntil.Compare(b.rateLimitedUntil) })
+	slices.SortFunc(limited, func(a, b *candidate) int { return a.admitsFrom.Compare(b.admitsFrom) })
 	needed := requiredShards(len(r.shards), r.route) - open
 	if needed < 1 || needed > len(limited) {
 		return refusal(reason, delay)
 	}
 	last := limited[needed-1]
-	return refusal(replica.ReasonRateLimit, max(delay, last.backend.RetryAfter(time.Now(), last.rateShare)))
+	if why, wait := last.backend.RetryAfter(time.Now(), last.rateShare); wait > 0 {
+		return refusal(why, max(delay, wait))
+	}
+	return refusal(reason, delay) // the time has come meanwhile
 }
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -20,6 +20,7 @@
 	missingShards, loans                  tally.Counter
 	// toLimited counts the requests to replicas that have named a rate limit.
 	toLimited          [3]tally.Counter // by sendKind
+	leaving, pauses    tally.Counter    // answers that say that their replica leaves, or wants no requests
 	latency, exchanges tally.Histogram
 
 	mu       sync.Mutex
@@ -38,6 +39,8 @@
 		repeatsWithoutBudget: scope.Counter("repeats_without_budget"),
 		missingShards:        scope.Counter("missing_shards"),
 		loans:                scope.Counter("loans"),
+		leaving:              scope.Counter("answers_of_leaving_replicas"),
+		pauses:               scope.Counter("answers_with_retry_after"),
 		latency:              scope.Histogram("request_seconds", latencyBuckets),
 		exchanges:            scope.Histogram("exchange_seconds", latencyBuckets),
 		answers:              map[Code]tally.Counter{},
@@ -71,6 +74,12 @@
 	}
 	m.mu.Unlock()
 	c.Inc(1)
+	if r.Leaving {
+		m.leaving.Inc(1)
+	}
+	if r.RetryAfter > 0 {
+		m.pauses.Inc(1)
+	}
 	m.exchanges.RecordDuration(took)
 }
 
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
 // costSpread is the range of the random increase of the cost of overloaded shards,
@@ -35,8 +33,8 @@
 			if latency, late := r.shardLatency(list, now); late {
 				overloaded = append(overloaded, overloadedShard{i, latency.Seconds() * (1 + costSpread*rand.Float64())})
 				sh.closed, sh.reason = true, "overloaded"
-				if !slices.ContainsFunc(list, func(c candidate) bool { return c.rateLimitedUntil.IsZero() }) {
-					sh.reason = replica.ReasonRateLimit
+				if !slices.ContainsFunc(list, func(c candidate) bool { return c.admitsFrom.IsZero() }) {
+					sh.reason = reasonRestricted
 				}
 				continue
 			}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -58,8 +58,8 @@
 	hedgeAt          time.Time // zero if no hedge is scheduled
 	retryAt          time.Time // next attempt to start an exchange; zero if none is scheduled
 	lastBackend      *replica.Backend
-	// limitedBy is, of the replicas whose rate limits left no room for the shard, the
-	// one that will admit a request first.
+	// limitedBy is, of the replicas whose rate limits or pauses left no room for the
+	// shard, the one that will admit a request first.
 	limitedBy *candidate
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,8 +31,8 @@
 }
 
 // sendToFirstAvailable sends to the first candidate that has a free connection and
-// cold-start capacity, and whose rate limit admits the request. If there is none, the
-// shard waits, or is closed if rate limits admit nothing until latestStart. An ejected
+// cold-start capacity, and whose rate limit and pause admit the request. If there is
+// none, the shard waits, or is closed if these admit nothing until latestStart. An ejected
 // replica is used only if all are ejected, not if the others are busy; if the others are
 // so limited, it is used once.
 func (r *activeRequest) sendToFirstAvailable(i int, kind sendKind, list []candidate, now time.Time) (to candidate, sent bool) {
--- a/internal/replica/backend.go
+++ b/internal/replica/backend.go
@@ -55,6 +55,8 @@
 	logger  *log.Logger
 
 	limited   atomic.Bool // a rate limit is in force; mirrors rateLimit
+	paused    atomic.Bool // pausedUntil may be in the future
+	retired   atomic.Bool // see Retired
 	startedAt int64       // start time of the incarnation, in Unix milliseconds
 
 	mu                  sync.Mutex
@@ -66,11 +68,12 @@
 	decayedAt           time.Time
 	consecutiveFailures int
 	ejectedUntil        time.Time
-	addressTaken        bool      // another replica listens at the address
 	lastUsed            time.Time // when a request was last sent, or the Backend was created
 	warmupEnd           time.Time // as the replica's answers state it
 	coldSendTimes       []time.Time
 	rateLimit           rateLimit
+	pausedUntil         time.Time // the replica wants no requests until then
+	leaving             bool      // the replica has said that it leaves
 }
 
 // exchange is one exchange in flight, from Acquire to the end of Send.
@@ -122,14 +125,10 @@
 	return slices.ContainsFunc(b.inFlight, func(e exchange) bool { return now.Sub(e.started) > e.stallAge })
 }
 
-// AddressTaken reports whether another replica answered at the address. Nothing may be
-// sent to this Backend any more; the replica gets a new one when the platform
-// lists a later incarnation of it.
-func (b *Backend) AddressTaken() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.addressTaken
-}
+// Retired reports whether nothing may be sent to this Backend any more: the replica has
+// said that it leaves, or another one answered at its address. The replica gets a new
+// Backend when the platform lists a later incarnation of it.
+func (b *Backend) Retired() bool { return b.retired.Load() }
 
 // Ejected reports whether the replica is ejected after failures, and should be
 // chosen only if no other is left.
@@ -166,14 +165,19 @@
 	RateShare RateShare
 }
 
-// ReasonRateLimit is the reason of a denial for the rate limit of the replica.
-const ReasonRateLimit = "rate limit"
+// Reasons of denials that have a time at which they end.
+const (
+	// ReasonRateLimit is the rate limit of the replica.
+	ReasonRateLimit = "rate limit"
+	// ReasonPaused is a time for which the replica wants no requests.
+	ReasonPaused = "paused"
+)
 
 // Denial says why nothing may be sent to a replica now.
 type Denial struct {
 	Reason string
-	// Until is set if the replica's rate limit is the reason: the earliest time at
-	// which it may admit a request.
+	// Until is set with ReasonRateLimit and ReasonPaused: the earliest time at which the
+	// replica may admit a request.
 	Until time.Time
 }
 
@@ -181,6 +185,12 @@
 func (b *Backend) Acquire(now time.Time, t Terms) (*Permit, Denial) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.retired.Load() {
+		return nil, Denial{Reason: "leaving"}
+	}
+	if now.Before(b.pausedUntil) {
+		return nil, Denial{Reason: ReasonPaused, Until: b.pausedUntil}
+	}
 	if len(b.inFlight) >= b.connRamp.limit(b.connections.MaxOpen) {
 		if b.connRamp.established < b.connections.MaxOpen && b.connRamp.tryStart(now) {
 			go b.openConnection(true)
@@ -231,6 +241,8 @@
 		b.rateLimit.refund()
 	}
 	b.observeRateLimit(now, p.exchange.started, r.RateLimit)
+	b.observeLeaving(r.Leaving)
+	b.observeRetryAfter(now, r.RetryAfter)
 	b.decay(now)
 	if r.Reset {
 		b.connRamp.recordReset(now)
@@ -249,6 +261,8 @@
 		b.recordLatency(took, expected)
 	case r.Outcome == NotSent && !r.Unreachable:
 		// Nothing was sent, for a reason on this side.
+	case r.RetryAfter > 0:
+		// The replica works. It gets nothing until the time that it named.
 	default:
 		b.recordFailure(now, r)
 	}
@@ -268,7 +282,9 @@
 }
 
 func (b *Backend) recordFailure(now time.Time, r Result) {
-	b.addressTaken = b.addressTaken || r.Misdirected
+	if r.Misdirected {
+		b.retired.Store(true)
+	}
 	b.consecutiveFailures++
 	b.failureRate += sampleWeight * (1 - b.failureRate)
 	if b.consecutiveFailures >= failuresToEject || r.Unreachable {
@@ -286,7 +302,7 @@
 // request need not wait for it. It does nothing if the last request was more than
 // keepConnectedFor ago.
 func (b *Backend) Preconnect(now time.Time) {
-	if b.client.Connected() {
+	if b.Retired() || b.client.Connected() {
 		return
 	}
 	b.mu.Lock()
--- a/internal/replica/backend_test.go
+++ b/internal/replica/backend_test.go
@@ -54,12 +54,12 @@
 func TestReplicaWithTakenAddressIsNotUsed(t *testing.T) {
 	p := newTestPool(&scriptedClient{results: []Result{{Outcome: NotRun, Misdirected: true}}})
 	sendOne(t, p, listedReplica)
-	if !p.Backend(listedReplica, twoConnections).AddressTaken() {
+	if !p.Backend(listedReplica, twoConnections).Retired() {
 		t.Fatal("a replica whose address was taken over by another one is still used")
 	}
 	restarted := listedReplica
 	restarted.StartedAt = 2
-	if p.Backend(restarted, twoConnections).AddressTaken() {
+	if p.Backend(restarted, twoConnections).Retired() {
 		t.Fatal("a restarted replica is not used")
 	}
 }
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -62,6 +62,11 @@
 	Unreachable bool
 	// RateLimit is what the answer says about the replica's rate limit.
 	RateLimit RateLimit
+	// Leaving is set if the answer says that the replica is about to leave.
+	Leaving bool
+	// RetryAfter is how long the replica wants no requests from this instance; 0 if it
+	// did not say.
+	RetryAfter time.Duration
 	// Reset is set if the replica reset a connection that had carried no earlier
 	// request, as it does when it holds too many connections.
 	Reset bool
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -22,26 +22,13 @@
 
 	mu       sync.RWMutex
 	backends map[string]*Backend
-	delisted map[string]delistedLimit // by replica ID; only of limited replicas
+	delisted map[string]standing // by replica ID; what to remember of replicas without a Backend
 }
 
-// delistedLimit is the rate limit of a replica that is no longer listed. Entries lapse
-// while the store is away; the replica is listed again soon after, and its limit then
-// still holds.
-type delistedLimit struct {
-	startedAt int64 // of the incarnation, as in Backend
-	limit     rateLimit
-	removedAt time.Time
-}
-
-// keepDelistedLimit is how long the rate limit of a replica that is no longer listed is
-// remembered. It is longer than most outages of the store.
-const keepDelistedLimit = time.Minute
-
 // NewPool returns an empty Pool whose backends send through clients that
 // newClient returns.
 func NewPool(logger *log.Logger, newClient NewClientFunc) *Pool {
-	return &Pool{logger: logger, newClient: newClient, Latencies: NewLatencies(), backends: map[string]*Backend{}, delisted: map[string]delistedLimit{}}
+	return &Pool{logger: logger, newClient: newClient, Latencies: NewLatencies(), backends: map[string]*Backend{}, delisted: map[string]standing{}}
 }
 
 // Backend returns the Backend of a replica and sets the limits of its
@@ -69,9 +56,8 @@
 		old.client.CloseIdle()
 	}
 	b := newBackend(p.logger, r, p.newClient(r.Address))
-	if d, limited := p.delisted[r.ID]; limited && d.startedAt == r.StartedAt {
-		b.rateLimit = d.limit
-		b.limited.Store(true)
+	if s, remembered := p.delisted[r.ID]; remembered && s.startedAt == r.StartedAt {
+		b.restore(s)
 	}
 	delete(p.delisted, r.ID)
 	p.backends[r.ID] = b
@@ -90,12 +76,12 @@
 		if _, listed := snap.Replica(id); !listed {
 			b.client.CloseIdle()
 			delete(p.backends, id)
-			if limit, limited := b.currentRateLimit(); limited {
-				p.delisted[id] = delistedLimit{b.startedAt, limit, now}
+			if s, relevant := b.standing(now); relevant {
+				p.delisted[id] = s
 			}
 		}
 	}
-	maps.DeleteFunc(p.delisted, func(_ string, d delistedLimit) bool { return now.Sub(d.removedAt) > keepDelistedLimit })
+	maps.DeleteFunc(p.delisted, func(_ string, s standing) bool { return now.After(s.forgetAt) })
 }
 
 // Close closes all idle connections.
@@ -117,6 +103,10 @@
 	Slowness float64 `json:"slowness"`
 	Failures float64 `json:"failures"`
 	Ejected  bool    `json:"ejected"`
+	// Leaving is set if the replica has said that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
+	// PausedMS is how long the replica wants no more requests, in milliseconds.
+	PausedMS int64 `json:"paused_ms,omitempty"`
 	// RateLimit is nil if the replica has named no limit.
 	RateLimit *RateLimitReport `json:"rate_limit,omitempty"`
 }
@@ -146,6 +136,7 @@
 func (b *Backend) report(now time.Time) Report {
 	r := Report{
 		ID: b.ID, Service: b.Service, InFlight: len(b.inFlight), Slowness: b.slowness, Failures: b.failureRate, Ejected: now.Before(b.ejectedUntil),
+		Leaving: b.leaving, PausedMS: max(b.pausedUntil.Sub(now).Milliseconds(), 0),
 	}
 	if b.rateLimit.named {
 		r.RateLimit = &RateLimitReport{PerSecond: b.rateLimit.perSecond, Sent: b.rateLimit.sent}
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -195,37 +195,5 @@
 	e.Msg("replica named, changed or lifted its rate limit")
 }
 
-// currentRateLimit returns the rate limit in force, if any.
-func (b *Backend) currentRateLimit() (limit rateLimit, limited bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.rateLimit, b.rateLimit.named
-}
-
 // Limited reports whether a rate limit of the replica is in force.
 func (b *Backend) Limited() bool { return b.limited.Load() }
-
-// RateLimitedUntil returns the earliest time at which the replica's rate limit admits
-// a request; the zero time if it admits one now.
-func (b *Backend) RateLimitedUntil(now time.Time, share RateShare) time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.rateLimit.named {
-		return time.Time{}
-	}
-	if at := b.rateLimit.nextAt(now, share); at.After(now) {
-		return at
-	}
-	return time.Time{}
-}
-
-// RetryAfter returns the delay after which a caller may come back that was refused
-// because of the replica's rate limit; 0 if none is in force.
-func (b *Backend) RetryAfter(now time.Time, share RateShare) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.rateLimit.named {
-		return 0
-	}
-	return b.rateLimit.retryAfter(now, share)
-}
