--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -124,6 +124,18 @@
 // The map must not be changed.
 func (c *Config) RouteByService() map[string]*Route { return c.routeByService }
 
+// MostShards returns the shards of the route that has most.
+func (c *Config) MostShards() (most []string) {
+	for _, list := range c.routesByHost {
+		for _, r := range list {
+			if len(r.Shards) > len(most) {
+				most = r.Shards
+			}
+		}
+	}
+	return most
+}
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int {
 	n := 0
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -142,6 +142,8 @@
 	// Address is where other instances reach it, IP:port.
 	Address string
 	Zone    string
+	// Capacity is the processor time that the instance has, in cores; 0 if unknown.
+	Capacity float64
 }
 
 // SetInstances replaces the list of instances.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,7 +76,7 @@
 		},
 	}
 	d.platform = platform.NewClient(s.Platform.Address, s.Platform.Timeout, platform.WithSource(source))
-	d.conns = peer.NewConns(logger, source)
+	d.conns = peer.NewConns(logger, source, peer.DefaultOptions)
 	scope, metricsHandler, closer := api.NewMetrics(logger)
 	d.metrics = closer
 	d.reportDroppedLines = func(ctx context.Context) error { return logQueue.ReportDropped(ctx, logger, scope) }
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -36,6 +36,11 @@
 	return nil, twirp.NewError(twirp.Unimplemented, "not used here")
 }
 
+// Gather is not used: holders answer for one target.
+func (s peerService) Gather(context.Context, *peerpb.GatherRequest) (*peerpb.GatherReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "not used here")
+}
+
 // RunOnce runs an at-most-once request or looks up its outcome.
 func (s peerService) RunOnce(ctx context.Context, req *peerpb.RunOnceRequest) (*peerpb.RunOnceReply, error) {
 	return s.once.ServePeer(ctx, req), nil
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -48,6 +48,7 @@
 	server         *ingress.Server
 	balancerServer *ingress.Admin
 	operatorServer *ingress.Admin
+	peers          *peers
 	peerConns      *peer.Conns
 	peerServer     *peer.Server
 	metrics        io.Closer
@@ -74,7 +75,9 @@
 		pool:    replica.NewPool(logger, platform.NewReplicaClients(source).NewClient),
 	}
 	d.settings.Store(&s)
-	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.forwardOptions(s))
+	d.peerConns = peer.NewConns(d.logger, source, peerOptions)
+	d.peers = &peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns}
+	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.peers, d.forwardOptions(s))
 	if d.server, err = ingress.NewServer(logger, s.CallerListen, platform.Ingress{}, d.forwarder, d.limits); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -84,7 +87,7 @@
 	if d.operatorServer, err = ingress.NewAdmin(s.MetricsListen, ingress.AdminOptions{Metrics: metricsHandler, Status: d.status}); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	d.addStoreControllers(source)
+	d.addStoreControllers()
 	if err := d.peerServer.Listen(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -110,9 +113,12 @@
 	replicaBatchDelay = 500 * time.Millisecond
 )
 
+// peerOptions bounds the connections between instances, of which each one has many.
+var peerOptions = peer.Options{ConnsPerPeer: 1, PingAfter: 5 * time.Second}
+
 // addStoreControllers adds the controllers that keep the catalog up to date with
 // the store, those that relay between instances, and the peer server.
-func (d *Daemon) addStoreControllers(source net.IP) {
+func (d *Daemon) addStoreControllers() {
 	s := d.settings.Load()
 	replicaSink := follow.NewReplicaSink(d.logger, d.catalog, d.link)
 	config := follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
@@ -122,16 +128,14 @@
 	evacuations := follow.NewFollower(d.logger, "evacuations", d.link, d.store.Evacuations(), zoneSink, longWatchWait, 0)
 	instanceSink := follow.NewInstanceSink(d.logger, d.catalog, d.link, s.Name)
 	instances := follow.NewFollower(d.logger, "daemons", d.link, d.store.Instances(), instanceSink, longWatchWait, instanceBatchDelay)
-	d.registrar = follow.NewRegistrar(d.logger, d.link, d.store, instanceSink, s.Name, catalog.Instance{Address: s.PeerListen, Zone: s.Zone})
-	d.peerConns = peer.NewConns(d.logger, source)
-	others := &peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns}
-	relay := follow.NewRelay(d.logger, d.link, others,
+	d.registrar = follow.NewRegistrar(d.logger, d.link, d.store, instanceSink, s.Name, catalog.Instance{Address: s.PeerListen, Zone: s.Zone, Capacity: s.CPUShare * s.CPUSpeed})
+	relay := follow.NewRelay(d.logger, d.link, d.peers,
 		follow.MaxRelayAge(s.Contact),
 		config, replicas, evacuations, instances)
 	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerService{relay, d.forwarder})
 	d.components = append(d.components, replicaSink.Run, zoneSink.Run, instanceSink.Run, d.registrar.Run,
 		config.Run, replicas.Run, evacuations.Run, relay.Run, d.peerServer.Run,
-		func(ctx context.Context) error { return d.forwarder.RunBorrowing(ctx, others) },
+		func(ctx context.Context) error { return d.forwarder.RunBorrowing(ctx, d.peers) },
 		func(ctx context.Context) error {
 			d.registrar.Register(ctx)
 			return instances.Run(ctx)
@@ -190,11 +194,13 @@
 	for n := 0; ; n++ {
 		if n%reconnectIntervals == 0 {
 			d.forwarder.ReopenClosedConnections()
+			d.forwarder.PrepareLeaves(ctx)
 		}
 		if snap := d.catalog.Load(); snap != seen {
 			seen = snap
 			d.pool.RemoveUnlisted(snap)
 			d.forwarder.OpenConnections()
+			d.forwarder.PrepareLeaves(ctx)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -22,6 +22,7 @@
 	started, grace := time.Now(), d.settings.Load().Grace
 	d.stopping.Store(true)
 	d.server.AnnounceClose()
+	d.forwarder.SetLeaving()
 	d.logger.Info().Str("event", "stop").Dur("grace", grace).Int64("in_flight", d.forwarder.InFlight()).
 		Msg("instance stops")
 	d.registrar.Deregister()
--- a/internal/forward/borrow.go
+++ b/internal/forward/borrow.go
@@ -63,8 +63,9 @@
 	if !listed {
 		return ""
 	}
-	names := view.ranks.order(i.ID, view.snap.InstanceNames)
-	names = names[:min(f.pool.ShareHolders(i, view.options.Shares.senders(view.snap, r)), len(names))]
+	by := view.sendersOf(r.Service)
+	names := by.order(view, r)
+	names = names[:min(f.pool.ShareHolders(i, by.number(view, r)), len(names))]
 	names = slices.DeleteFunc(names, func(name string) bool { return name == view.options.Shares.Self })
 	if len(names) == 0 {
 		return ""
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -56,7 +56,7 @@
 // of cost. Ejected replicas come last.
 func (f *Forwarder) candidates(route *catalog.Route, service string, now time.Time) []candidate {
 	view := f.currentView()
-	usable := view.services[service]
+	usable := view.service(service).usable
 	list := make([]candidate, 0, len(usable))
 	for _, s := range usable {
 		r := s.replica
@@ -95,8 +95,8 @@
 // after a start or a change of shards do not wait for connection set-up.
 func (f *Forwarder) OpenConnections() {
 	now := time.Now()
-	for _, list := range f.currentView().services {
-		for _, s := range list {
+	for _, service := range f.currentView().services {
+		for _, s := range service.usable {
 			s.backend.Preconnect(now)
 		}
 	}
@@ -110,7 +110,11 @@
 		return
 	}
 	now := time.Now()
+	services := f.currentView().services
 	for service, route := range config.RouteByService() {
+		if s := services[service]; s == nil || len(s.usable) == 0 {
+			continue
+		}
 		if list := f.candidates(route, service, now); len(list) > 0 {
 			list[0].backend.Preconnect(now)
 		}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -7,36 +7,32 @@
 
 // objectiveDeadline is the latest time to send an answer that still reaches the
 // caller within the objective. A partial answer is sent then.
-func (r *activeRequest) objectiveDeadline() time.Time {
-	return earlier(r.start.Add(r.route.Objective-deliveryMargin), r.deadline)
-}
+func (r *activeRequest) objectiveDeadline() time.Time { return earlier(r.onTime, r.deadline) }
 
 // lateAnswerDeadline is when an answer that has missed its objective stops waiting
 // for the remaining shards.
-func (r *activeRequest) lateAnswerDeadline() time.Time {
-	return earlier(r.start.Add(2*r.route.Objective), r.deadline)
-}
+func (r *activeRequest) lateAnswerDeadline() time.Time { return earlier(r.late, r.deadline) }
 
 // decide returns the answer and true if nothing more is to be waited for.
 func (r *activeRequest) decide(now time.Time) (Answer, bool) {
 	answered, open := 0, 0
 	for i := range r.shards {
-		if r.shards[i].reply != nil {
+		if r.shards[i].answered() {
 			answered++
 		} else if !r.shards[i].closed {
 			open++
 		}
 	}
-	if open == 0 && (coversEnough(answered, len(r.shards), r.route) || !r.startDeferredShard()) || !now.Before(r.deadline) {
+	if open == 0 && (answered >= r.required || !r.startDeferredShard()) || !now.Before(r.deadline) {
 		return r.finalAnswer(answered, now), true
 	}
 	if !r.route.IsScatter() {
 		return r.refuseIfNoCapacity(now)
 	}
-	if !coversEnough(answered+open, len(r.shards), r.route) && !r.startDeferredShard() {
+	if answered+open < r.required && !r.gather && !r.startDeferredShard() {
 		return r.finalAnswer(answered, now), true
 	}
-	if coversEnough(answered, len(r.shards), r.route) && r.mustAnswerNow(now) {
+	if answered >= r.required && r.mustAnswerNow(now) {
 		return r.mergeReplies(answered), true
 	}
 	return Answer{}, false
@@ -46,8 +42,7 @@
 // without the others: either the objective can only just be met, or it was missed
 // and the additional wait for the remaining shards is over.
 func (r *activeRequest) mustAnswerNow(now time.Time) bool {
-	objective := r.start.Add(r.route.Objective)
-	return !now.Before(r.objectiveDeadline()) && now.Before(objective) || !now.Before(r.lateAnswerDeadline())
+	return !now.Before(r.objectiveDeadline()) && now.Before(r.objective) || !now.Before(r.lateAnswerDeadline())
 }
 
 // refusalDeadline is when a request is refused that is not in flight and cannot have
@@ -70,7 +65,7 @@
 // finalAnswer returns the answer when no more replies are waited for. answered is
 // the number of shards with a reply.
 func (r *activeRequest) finalAnswer(answered int, now time.Time) Answer {
-	if r.route.IsScatter() && coversEnough(answered, len(r.shards), r.route) {
+	if r.route.IsScatter() && answered >= r.required {
 		return r.mergeReplies(answered)
 	}
 	if !r.route.IsScatter() {
@@ -84,7 +79,7 @@
 	mayHaveRun, reason := false, "too few shards"
 	for i := range r.shards {
 		sh := &r.shards[i]
-		mayHaveRun = mayHaveRun || sh.mayHaveRun || sh.inFlight > 0
+		mayHaveRun = mayHaveRun || sh.mayHaveRun || sh.inFlight > 0 || sh.leafCalls > 0
 		if !r.route.IsScatter() {
 			reason = sh.reason
 		}
@@ -105,7 +100,7 @@
 func (r *activeRequest) describeMissing() []string {
 	var list []string
 	for i := range r.shards {
-		if sh := &r.shards[i]; sh.reply == nil && len(list) < maxDescribedShards {
+		if sh := &r.shards[i]; !sh.answered() && len(list) < maxDescribedShards {
 			list = append(list, fmt.Sprintf("%s: %s, %d sent, %d waiting", sh.service, sh.reason, sh.sends, sh.inFlight))
 		}
 	}
@@ -117,14 +112,23 @@
 	a := Answer{Code: Merged, MissingCount: len(r.shards) - answered, Signatures: make([]string, 0, answered)}
 	top := topRecords{limit: r.route.TopK}
 	for i := range r.shards {
-		if reply := r.shards[i].reply; reply != nil {
-			a.Signatures = append(a.Signatures, reply.Signature)
-			top.add(reply.Body)
+		switch sh := &r.shards[i]; {
+		case sh.reply != nil:
+			a.Signatures = append(a.Signatures, sh.reply.Signature)
+			top.add(sh.reply.Body)
+		case sh.signature != "":
+			a.Signatures = append(a.Signatures, sh.signature)
+		}
+	}
+	for _, g := range r.replies {
+		if g.used {
+			top.add(g.reply.Records)
 		}
 	}
 	if a.MissingCount > 0 {
 		a.Reason, a.MissingDetails = "shards missing", r.describeMissing()
 	}
+	a.LeafCalls = r.leafCalls
 	a.Records = top.descending()
 	return a
 }
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -123,7 +123,7 @@
 	})
 	r.store.SetInstances(instances)
 	pool := replica.NewPool(logs.OrDiscard(nil), func(address string) replica.Client { return r.replicas[address] })
-	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, Options{
+	r.Forwarder = NewForwarder(logs.OrDiscard(nil), tally.NoopScope, r.store, pool, nil, Options{
 		Location:   Location{Zone: "near", Region: "home", Regions: testRegions},
 		Shares:     Shares{Self: self, ColdOverage: 1, ColdSlack: 0},
 		RetryRatio: 0.2, RetrySlack: 20, MaxInFlight: 1000,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -34,13 +34,21 @@
 	metrics *metrics
 	view    atomic.Pointer[view]
 
-	inFlight atomic.Int64
-	splits   atomic.Uint64 // requests to routes with a traffic split
+	// leaves calls other instances; nil if this one sends to all replicas itself.
+	leaves   Leaves
+	leafBook *leafBook
+	leaving  atomic.Bool
+
+	inFlight  atomic.Int64
+	gathering atomic.Int64  // requests of other instances in flight
+	splits    atomic.Uint64 // requests to routes with a traffic split
 }
 
-// NewForwarder returns a Forwarder.
-func NewForwarder(logger *log.Logger, scope tally.Scope, store *catalog.Store, pool *replica.Pool, o Options) *Forwarder {
-	f := &Forwarder{logger: logger, store: store, pool: pool, budget: NewRetryBudget(), metrics: newMetrics(scope)}
+// NewForwarder returns a Forwarder. leaves may be nil.
+func NewForwarder(logger *log.Logger, scope tally.Scope, store *catalog.Store, pool *replica.Pool, leaves Leaves, o Options) *Forwarder {
+	f := &Forwarder{
+		logger: logger, store: store, pool: pool, leaves: leaves, leafBook: newLeafBook(), budget: NewRetryBudget(), metrics: newMetrics(scope),
+	}
 	f.Configure(o)
 	return f
 }
@@ -114,13 +122,40 @@
 	if req.CallerTimeout > 0 {
 		r.deadline = earlier(r.deadline, r.start.Add(req.CallerTimeout-deliveryMargin))
 	}
+	r.onTime, r.objective, r.late = r.start.Add(route.Objective-deliveryMargin), r.start.Add(route.Objective), r.start.Add(2*route.Objective)
+	r.required = requiredShards(len(services), route)
+	var plan *scatterPlan
+	if route.IsScatter() && route.Idempotent && f.leaves != nil {
+		plan = f.currentView().plan(route)
+	}
+	r.addShards(services, plan)
+	return r
+}
+
+// addShards adds the shards of the request. Those that plan assigns to groups are left to
+// leaves.
+func (r *activeRequest) addShards(services []string, plan *scatterPlan) {
+	view := r.f.currentView()
 	r.shards = make([]shard, len(services))
+	if plan != nil {
+		for _, g := range plan.groups {
+			r.groups = append(r.groups, newShardGroup(r, g))
+		}
+	}
+	own := 0
 	for i, s := range services {
 		r.shards[i].service = s
-		f.budget.AddRequest(s, instanceCount(snap))
+		if plan != nil && plan.groupOf[i] >= 0 {
+			r.shards[i].group = r.groups[plan.groupOf[i]]
+			continue
+		}
+		own++
+		if !r.repeat {
+			r.f.budget.AddRequest(s, view.sendersOf(s).count)
+		}
 	}
-	r.results = make(chan exchangeResult, len(services)*maxShardSends)
-	return r
+	r.results = make(chan exchangeResult, own*maxShardSends)
+	r.calls, r.ended = make(chan *leafCall), make(chan struct{})
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/forward/limited.go
+++ b/internal/forward/limited.go
@@ -48,18 +48,23 @@
 // closeUnservableShards closes the shards that have no usable replica, or only replicas
 // whose rate limits and pauses admit nothing in time. It returns the number of the other shards.
 func (r *activeRequest) closeUnservableShards(now time.Time) (servable int) {
-	services := r.f.currentView().services
+	view := r.f.currentView()
 	for i := range r.shards {
 		sh := &r.shards[i]
 		allowed := func(s usableReplica) bool { return r.route.AllowsRegion(s.region) && !s.backend.Retired() }
 		unlimited := func(s usableReplica) bool { return allowed(s) && !s.backend.Restricted() }
+		if sh.group != nil {
+			servable++ // its leaf decides
+			continue
+		}
+		usable := view.service(sh.service).usable
 		switch {
-		case !slices.ContainsFunc(services[sh.service], allowed):
+		case !slices.ContainsFunc(usable, allowed):
 			sh.closed, sh.reason = true, "no replica"
-		case slices.ContainsFunc(services[sh.service], unlimited):
+		case slices.ContainsFunc(usable, unlimited):
 			servable++
 		default:
-			list := r.f.candidates(r.route, sh.service, now)
+			list := r.candidates(sh.service, now)
 			if !r.allLimited(sh, list) {
 				servable++
 				continue
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -19,9 +19,14 @@
 	hedges, retries, repeatsWithoutBudget tally.Counter
 	missingShards, loans                  tally.Counter
 	// toLimited counts the requests to replicas that have named a rate limit.
-	toLimited          [3]tally.Counter // by sendKind
-	leaving, pauses    tally.Counter    // answers that say that their replica leaves, or wants no requests
-	latency, exchanges tally.Histogram
+	toLimited [3]tally.Counter // by sendKind
+	// gathers counts the requests of other instances, gathersRefused those that were
+	// refused; leafCalls the calls to leaves, leafRepeats those that ask for what another
+	// leaf may have sent, leafRepliesUnusable the replies that were not used.
+	gathers, gathersRefused                     tally.Counter
+	leafCalls, leafRepeats, leafRepliesUnusable tally.Counter
+	leaving, pauses                             tally.Counter // answers that say that their replica leaves, or wants no requests
+	latency, exchanges, gatherLatency           tally.Histogram
 
 	mu       sync.Mutex
 	answers  map[Code]tally.Counter
@@ -39,6 +44,12 @@
 		repeatsWithoutBudget: scope.Counter("repeats_without_budget"),
 		missingShards:        scope.Counter("missing_shards"),
 		loans:                scope.Counter("loans"),
+		gathers:              scope.Counter("gathers"),
+		gathersRefused:       scope.Counter("gathers_refused"),
+		leafCalls:            scope.Counter("leaf_calls"),
+		leafRepeats:          scope.Counter("leaf_repeats"),
+		leafRepliesUnusable:  scope.Counter("leaf_replies_unusable"),
+		gatherLatency:        scope.Histogram("gather_seconds", latencyBuckets),
 		leaving:              scope.Counter("answers_of_leaving_replicas"),
 		pauses:               scope.Counter("answers_with_retry_after"),
 		latency:              scope.Histogram("request_seconds", latencyBuckets),
@@ -83,6 +94,11 @@
 	m.exchanges.RecordDuration(took)
 }
 
+func (m *metrics) recordGather(reply GatherReply) {
+	m.gathers.Inc(1)
+	m.gatherLatency.RecordDuration(reply.Took)
+}
+
 // answerLevel returns the log level for an answer. Answers that did not serve the
 // caller in full are warnings, because lines below that level are the first to be
 // dropped under load.
@@ -111,7 +127,7 @@
 		e = e.Strs("absent", a.MissingDetails)
 	}
 	if a.Code == Merged {
-		e = e.Int("parts", len(a.Signatures)).Int("missing", a.MissingCount)
+		e = e.Int("parts", len(a.Signatures)).Int("missing", a.MissingCount).Int("leaf_calls", a.LeafCalls)
 	}
 	if a.Code == Forwarded {
 		e = e.Str("replica", a.Replica).Int("status", a.Reply.Status)
@@ -119,6 +135,26 @@
 	e.Msg("request ended")
 }
 
+// logGather logs a request of another instance that this one has served.
+func (r *activeRequest) logGather(req *GatherRequest, reply GatherReply) {
+	level := log.DebugLevel
+	if len(reply.Missing) > 0 {
+		level = log.InfoLevel
+	}
+	e := r.f.logger.WithLevel(level).Str("event", "gather").Str("request_id", r.req.AttemptID).Str("from", req.From).Str("route", r.route.Name).
+		Bool("repeat", r.repeat).Int("shards", len(r.shards)).Int("missing", len(reply.Missing)).Dur("took", reply.Took).Dur("answer_within", req.AnswerWithin)
+	if len(reply.Missing) > 0 {
+		e = e.Strs("absent", r.describeMissing())
+	}
+	e.Msg("part of a query gathered for another instance")
+}
+
+// logLostCall logs a call to a leaf that brought no reply.
+func (r *activeRequest) logLostCall(call *leafCall, reason string, now time.Time) {
+	r.f.logger.Warn().Str("event", "leaf").Str("request_id", r.req.AttemptID).Str("leaf", call.leaf.Name).Str("reason", reason).
+		Int("shards", len(call.shards)).Dur("age", now.Sub(r.start)).Dur("took", now.Sub(call.started)).Err(call.err).Msg("leaf did not answer")
+}
+
 // logExchange logs an exchange that brought no successful reply.
 func (r *activeRequest) logExchange(sh *shard, e exchangeResult) {
 	l := r.f.logger.Warn().Str("event", "exchange").Str("request_id", r.req.AttemptID).Str("service", sh.service).
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -25,11 +25,15 @@
 	started := 0
 	for i := range r.shards {
 		sh := &r.shards[i]
+		if sh.group != nil {
+			started++
+			continue
+		}
 		if sh.closed {
 			continue
 		}
-		list := r.f.candidates(r.route, sh.service, now)
-		if r.route.IsScatter() {
+		list := r.candidates(sh.service, now)
+		if r.route.IsScatter() && !r.gather {
 			if latency, late := r.shardLatency(list, now); late {
 				overloaded = append(overloaded, overloadedShard{i, latency.Seconds() * (1 + costSpread*rand.Float64())})
 				sh.closed, sh.reason = true, "overloaded"
@@ -46,8 +50,9 @@
 	for _, o := range overloaded {
 		r.deferred = append(r.deferred, o.index)
 	}
-	for missing := requiredShards(len(r.shards), r.route) - started; missing > 0 && r.startDeferredShard(); missing-- {
+	for missing := r.required - started; missing > 0 && r.startDeferredShard(); missing-- {
 	}
+	r.startGroups(r.groups, now)
 }
 
 // shardLatency returns the expected latency of a shard at the least loaded of its
@@ -71,6 +76,6 @@
 	r.deferred = r.deferred[1:]
 	r.shards[i].closed = false
 	now := time.Now()
-	r.startShard(i, r.f.candidates(r.route, r.shards[i].service, now), now)
+	r.startShard(i, r.candidates(r.shards[i].service, now), now)
 	return true
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -64,6 +64,8 @@
 	Signatures   []string
 	MissingCount int
 	Records      []byte
+	// LeafCalls is the number of calls to other instances for parts of the answer.
+	LeafCalls int
 	// MissingDetails describes shards that did not answer, with the reason for
 	// each, for the log. It has at most maxDescribedShards entries.
 	MissingDetails []string
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -61,8 +61,18 @@
 	// limitedBy is, of the replicas whose rate limits or pauses left no room for the
 	// shard, the one that will admit a request first.
 	limitedBy *candidate
+	// group is set if a leaf is asked for the shard; signature is then that of the reply
+	// that the leaf has merged.
+	group     *shardGroup
+	signature string
+	leafCalls int // in flight
+	// paid is set once the first exchange was paid from the retry budget, see payRepeat.
+	paid bool
 }
 
+// answered reports whether the reply of the shard is in the answer.
+func (sh *shard) answered() bool { return sh.reply != nil || sh.signature != "" }
+
 // exchangeResult reports the end of an exchange to the goroutine of its request.
 type exchangeResult struct {
 	shard     int
@@ -80,6 +90,12 @@
 	route    *catalog.Route
 	start    time.Time
 	deadline time.Time // for the answer
+	// onTime is the latest time to send an answer that still reaches the caller within
+	// the objective, which ends at objective; late is when an answer that missed it stops
+	// waiting for the remaining shards.
+	onTime, objective, late time.Time
+	// required is the number of shards that an answer must cover.
+	required int
 	shards   []shard
 	results  chan exchangeResult
 	inFlight int
@@ -88,10 +104,25 @@
 	// deferred are the indexes of the overloaded shards that were not started, in
 	// order of cost. They are closed until they are started.
 	deferred []int
+
+	// groups are the groups of shards for which leaves are asked; calls brings the ends
+	// of the calls, and replies has their replies.
+	groups    []*shardGroup
+	calls     chan *leafCall
+	ended     chan struct{} // closed at the end of runToEnd
+	replies   []gatheredReply
+	leafCalls int
+
+	// gather is set if another instance asks for a part of a query, see Gather. If repeat
+	// is set too, the first exchanges are paid as repeats. evacuated are the zones that
+	// the asking instance knows to be evacuated.
+	gather, repeat bool
+	evacuated      []string
 }
 
 // runToEnd serves the request and returns its answer.
 func (r *activeRequest) runToEnd() Answer {
+	defer close(r.ended)
 	r.sendCtx, r.cancel = context.WithDeadline(context.WithoutCancel(r.ctx), r.deadline)
 	if a, refused := r.refuseIfUnavailable(); refused {
 		r.cancel()
@@ -111,10 +142,19 @@
 		case e := <-r.results:
 			r.handleResult(e)
 			r.drainResults()
+		case call := <-r.calls:
+			r.handleCall(call, time.Now())
 		case <-timer.C:
 			r.startDueExchanges(time.Now())
+			r.startDueGroups(time.Now())
 		case <-r.ctx.Done():
-			r.cancel()
+			if r.gather {
+				// The caller may have its answer from others: connections are kept if
+				// the exchanges end soon.
+				r.releaseExchanges()
+			} else {
+				r.cancel()
+			}
 			return Answer{Code: Abandoned}
 		}
 	}
@@ -145,7 +185,7 @@
 // shards have a usable replica that admits the request in time.
 func (r *activeRequest) refuseIfUnavailable() (Answer, bool) {
 	available := r.closeUnservableShards(time.Now())
-	if available > 0 && coversEnough(available, len(r.shards), r.route) {
+	if available > 0 && available >= r.required || r.gather {
 		return Answer{}, false
 	}
 	return r.refuse("no replica"), true
@@ -160,9 +200,6 @@
 	return max(int(math.Ceil(route.MinShare*float64(total)-roundingTolerance)), 1)
 }
 
-// coversEnough reports whether an answer may be made from n of total shards.
-func coversEnough(n, total int, route *catalog.Route) bool { return n >= requiredShards(total, route) }
-
 // nextTimer returns the next time at which a decision may be due.
 func (r *activeRequest) nextTimer(now time.Time) time.Time {
 	next := r.deadline
@@ -187,7 +224,7 @@
 			next = earlier(next, sh.retryAt)
 		}
 	}
-	return next
+	return r.nextGroupTimer(next)
 }
 
 // startDueExchanges starts the exchanges that are due: hedges, retries, and first
@@ -201,7 +238,7 @@
 		if !sh.retryAt.IsZero() && !sh.retryAt.After(now) {
 			sh.retryAt = time.Time{}
 			if !sh.started {
-				r.startShard(i, r.f.candidates(r.route, sh.service, now), now)
+				r.startShard(i, r.candidates(sh.service, now), now)
 			} else {
 				r.retry(i)
 			}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -27,9 +27,23 @@
 		sh.closed, sh.reason = true, "no replica"
 		return
 	}
+	if !r.payRepeat(sh) {
+		sh.closed, sh.reason = true, "no budget"
+		return
+	}
 	r.sendToFirstAvailable(i, firstSend, list, now)
 }
 
+// candidates returns the replicas of a service that the request may be sent to, in order
+// of cost.
+func (r *activeRequest) candidates(service string, now time.Time) []candidate {
+	list := r.f.candidates(r.route, service, now)
+	if len(r.evacuated) > 0 {
+		list = slices.DeleteFunc(list, func(c candidate) bool { return r.isEvacuated(c.replica.Zone) })
+	}
+	return list
+}
+
 // sendToFirstAvailable sends to the first candidate that has a free connection and
 // cold-start capacity, and whose rate limit and pause admit the request. If there is
 // none, the shard waits, or is closed if these admit nothing until latestStart. An ejected
@@ -160,7 +174,7 @@
 func (r *activeRequest) scheduleRetry(i int, failed string) {
 	sh := &r.shards[i]
 	now := time.Now()
-	list := r.repeatCandidates(sh, r.f.candidates(r.route, sh.service, now))
+	list := r.repeatCandidates(sh, r.candidates(sh.service, now))
 	if len(list) > 0 && (list[0].ejected || list[0].replica.ID == failed) {
 		sh.retryAt = now.Add(failureDelay)
 		return
@@ -175,7 +189,7 @@
 	if sh.inFlight == 0 || sh.sends >= maxShardSends {
 		return
 	}
-	list := r.repeatCandidates(sh, r.f.candidates(r.route, sh.service, now))
+	list := r.repeatCandidates(sh, r.candidates(sh.service, now))
 	list = slices.DeleteFunc(list, func(c candidate) bool {
 		// Another exchange with the same replica helps only if the connection is
 		// at fault, which is likely after several times the mean latency.
@@ -218,7 +232,7 @@
 		sh.closed = true
 		return
 	}
-	list := r.repeatCandidates(sh, r.f.candidates(r.route, sh.service, now))
+	list := r.repeatCandidates(sh, r.candidates(sh.service, now))
 	if len(list) == 0 {
 		sh.closed = true
 		return
--- a/internal/forward/shares.go
+++ b/internal/forward/shares.go
@@ -27,6 +27,8 @@
 	// usableConnectionShare is the part of a replica's connection limit that is
 	// used. The rest covers connections that are being closed.
 	usableConnectionShare = 0.9
+	// memberConnectionShare is the part of those that the members of a bucket share.
+	memberConnectionShare = 0.8
 )
 
 // instanceCount returns the number of instances that share the replicas.
@@ -38,41 +40,49 @@
 }
 
 // usableConnections returns the connections that all instances together may open to
-// a replica.
-func (s Shares) usableConnections(snap *catalog.Snapshot, r catalog.Replica) int {
-	return max(int(float64(snap.Config.Services[r.Service].MaxConnections)*usableConnectionShare), 1)
-}
-
-// senders returns the number of instances that send to a replica: all of them, or
-// as many as it has connections for.
-func (s Shares) senders(snap *catalog.Snapshot, r catalog.Replica) int {
-	return min(instanceCount(snap), s.usableConnections(snap, r))
+// a replica of a service.
+func (s Shares) usableConnections(snap *catalog.Snapshot, service string) int {
+	return max(int(float64(snap.Config.Services[service].MaxConnections)*usableConnectionShare), 1)
 }
 
 // connectionLimits returns the limits on the connections of this instance to a
 // replica. For some seconds, a replica keeps the connections of a machine that lost
 // power, so the limit on idle connections leaves room for one new connection from
 // each instance.
-func (s Shares) connectionLimits(snap *catalog.Snapshot, r catalog.Replica) replica.ConnectionLimits {
-	open := max(Share(float64(s.usableConnections(snap, r)), instanceCount(snap)), 1)
-	idle := Share(float64(snap.Config.Services[r.Service].MaxConnections), instanceCount(snap)) - 1
+func (s Shares) connectionLimits(snap *catalog.Snapshot, by senders, r catalog.Replica) replica.ConnectionLimits {
+	if by.outsider {
+		return replica.ConnectionLimits{MaxOpen: 1, MaxIdle: 1}
+	}
+	usable, total := float64(s.usableConnections(snap, r.Service)), float64(snap.Config.Services[r.Service].MaxConnections)
+	if by.members != nil {
+		// The rest is for instances that are not members, and for those that were.
+		usable, total = usable*memberConnectionShare, total*memberConnectionShare
+	}
+	open := max(Share(usable, by.count), 1)
+	idle := Share(total, by.count) - 1
 	return replica.ConnectionLimits{MaxOpen: open, MaxIdle: min(max(idle, 1), open)}
 }
 
 // sendsTo reports whether this instance sends to a replica. If there are more
 // instances than connections, each replica is used by the instances that rank
 // first for it in rendezvous hashing.
-func (s Shares) sendsTo(snap *catalog.Snapshot, ranks ranking, r catalog.Replica) bool {
-	limit := s.usableConnections(snap, r)
-	return len(snap.InstanceNames) <= limit || ranks.countBefore(r.ID) < limit
+func (s Shares) sendsTo(v *view, by senders, r catalog.Replica) bool {
+	if by.members != nil || by.outsider {
+		return by.self >= 0 || by.outsider
+	}
+	limit := s.usableConnections(v.snap, r.Service)
+	return len(v.snap.InstanceNames) <= limit || v.ranks.countBefore(r.ID) < limit
 }
 
 // coldLimit returns the number of requests that this instance may send to a cold
 // replica in any second. Services that declare no rate have no limit.
-func (s Shares) coldLimit(snap *catalog.Snapshot, r catalog.Replica) int {
+func (s Shares) coldLimit(snap *catalog.Snapshot, by senders, r catalog.Replica) int {
 	rate := snap.Config.Services[r.Service].ColdRate
-	if rate <= 0 {
+	switch {
+	case rate <= 0:
 		return math.MaxInt
+	case by.outsider:
+		return 0
 	}
-	return Share(rate*s.ColdOverage+s.ColdSlack, s.senders(snap, r))
+	return Share(rate*s.ColdOverage+s.ColdSlack, min(by.count, s.usableConnections(snap, r.Service)))
 }
--- a/internal/forward/shares_test.go
+++ b/internal/forward/shares_test.go
@@ -25,12 +25,13 @@
 			r := catalog.Replica{ID: fmt.Sprintf("r%d", i), Service: "s"}
 			open, idle, cold := 0, 0, 0
 			for self := range names {
-				s := Shares{Self: self, ColdOverage: 1.5, ColdSlack: 5}
-				if s.sendsTo(snap, newRanking(self, snap.InstanceNames), r) {
-					bounds := s.connectionLimits(snap, r)
+				v := &view{snap: snap, options: &Options{Shares: Shares{Self: self, ColdOverage: 1.5, ColdSlack: 5}}, ranks: newRanking(self, snap.InstanceNames)}
+				s, by := v.options.Shares, v.sendersOf("s")
+				if s.sendsTo(v, by, r) {
+					bounds := s.connectionLimits(snap, by, r)
 					open += bounds.MaxOpen
 					idle += bounds.MaxIdle
-					cold += s.coldLimit(snap, r)
+					cold += s.coldLimit(snap, by, r)
 					used[self]++
 				}
 			}
@@ -60,11 +61,11 @@
 	store := catalog.NewStore(0)
 	store.SetInstances(manyInstances())
 	store.SetConfig(catalog.NewConfig(1, nil, []catalog.Service{{Name: "s"}, {Name: "t", ColdRate: 800}}, catalog.Limits{}))
-	s := Shares{Self: "d1", ColdOverage: 1.5, ColdSlack: 5}
-	if n := s.coldLimit(store.Load(), catalog.Replica{Service: "s"}); n < 1000 {
+	s, by := Shares{Self: "d1", ColdOverage: 1.5, ColdSlack: 5}, senders{count: 11}
+	if n := s.coldLimit(store.Load(), by, catalog.Replica{Service: "s"}); n < 1000 {
 		t.Errorf("%d requests a second without a declared rate", n)
 	}
-	if n := s.coldLimit(store.Load(), catalog.Replica{Service: "t"}); n > 1205 || n == 0 {
+	if n := s.coldLimit(store.Load(), by, catalog.Replica{Service: "t"}); n > 1205 || n == 0 {
 		t.Errorf("%d requests a second with a declared rate", n)
 	}
 }
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -18,23 +18,33 @@
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
+// Options of the connections to peers.
+type Options struct {
+	// ConnsPerPeer is the number of connections over which the calls to a peer are
+	// spread, so that one packet lost between zones does not delay all calls.
+	ConnsPerPeer int
+	// A connection that received nothing for PingAfter is pinged, and closed if there is
+	// no answer within a second. This closes the connections over a cut link.
+	PingAfter time.Duration
+}
+
+// DefaultOptions are for few peers. A peer becomes suspect within the time after which
+// its connections over a cut link are closed.
+var DefaultOptions = Options{ConnsPerPeer: 2, PingAfter: time.Second}
+
 const (
-	// connsPerPeer is the number of connections over which the calls to a peer
-	// are spread, so that one packet lost between zones does not delay all calls.
-	connsPerPeer = 2
-	dialTimeout  = time.Second
-	// A connection that received nothing for pingIdleTimeout is pinged, and closed
-	// if there is no answer within pingTimeout. This closes the connections over
-	// a cut link; the peer becomes suspect within the same time.
-	pingIdleTimeout = time.Second
-	pingTimeout     = time.Second
+	dialTimeout = time.Second
+	pingTimeout = time.Second
+	// maxReplyBytes bounds the reply of a peer. The largest are listings of the store.
+	maxReplyBytes = 64 << 20
 )
 
 // Conns holds the clients of the peers by address and creates them on first use.
 // It is safe for concurrent use.
 type Conns struct {
-	logger *log.Logger
-	dialer *net.Dialer
+	logger  *log.Logger
+	dialer  *net.Dialer
+	options Options
 
 	mu    sync.Mutex
 	peers map[string]*peerClient
@@ -45,17 +55,17 @@
 type peerClient struct {
 	client      peerpb.Peer
 	nextClient  atomic.Uint32
-	httpClients [connsPerPeer]*http.Client
+	httpClients []*http.Client
 }
 
 // NewConns returns a Conns that dials from the local IP source, or from any
 // local IP if source is nil.
-func NewConns(logger *log.Logger, source net.IP) *Conns {
+func NewConns(logger *log.Logger, source net.IP, options Options) *Conns {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
-	return &Conns{logger: logs.OrDiscard(logger), dialer: dialer, peers: map[string]*peerClient{}}
+	return &Conns{logger: logs.OrDiscard(logger), dialer: dialer, options: options, peers: map[string]*peerClient{}}
 }
 
 // Client returns the client of the peer at address (IP:port). The client
@@ -66,7 +76,7 @@
 	if p, ok := c.peers[address]; ok {
 		return p.client
 	}
-	p := &peerClient{}
+	p := &peerClient{httpClients: make([]*http.Client, c.options.ConnsPerPeer)}
 	for i := range p.httpClients {
 		p.httpClients[i] = &http.Client{Transport: c.newTransport()}
 	}
@@ -107,7 +117,7 @@
 		DisableCompression: true,
 		IdleConnTimeout:    time.Minute,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingIdleTimeout,
+			SendPingTimeout:  c.options.PingAfter,
 			PingTimeout:      pingTimeout,
 			WriteByteTimeout: pingTimeout,
 		},
@@ -133,10 +143,13 @@
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	resp, err := p.httpClients[p.nextClient.Add(1)%connsPerPeer].Do(req.WithContext(ctx))
+	resp, err := p.httpClients[int(p.nextClient.Add(1)%uint32(len(p.httpClients)))].Do(req.WithContext(ctx))
 	if err != nil && !connected.Load() {
 		return nil, &notSentError{err}
 	}
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, maxReplyBytes)
+	}
 	return resp, err
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -41,7 +41,7 @@
 	done := make(chan error)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { done <- s.Run(ctx) }()
-	c := NewConns(nil, net.IPv4(127, 0, 0, 1))
+	c := NewConns(nil, net.IPv4(127, 0, 0, 1), DefaultOptions)
 	t.Cleanup(func() {
 		c.Close()
 		cancel()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,10 @@
 // maxStreams limits the concurrent calls on one connection.
 const maxStreams = 1000
 
+// maxRequestBytes bounds the request of a peer. The largest are those that carry the
+// body of a caller's request.
+const maxRequestBytes = 16 << 20
+
 // Server serves the peer protocol to the other instances.
 type Server struct {
 	logger *log.Logger
@@ -36,7 +40,7 @@
 		logger:  logs.OrDiscard(logger),
 		address: address,
 		http: &http.Server{
-			Handler:           peerpb.NewPeerServer(service),
+			Handler:           http.MaxBytesHandler(peerpb.NewPeerServer(service), maxRequestBytes),
 			Protocols:         protocols,
 			ReadHeaderTimeout: 5 * time.Second,
 			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -33,6 +33,9 @@
 	Grace time.Duration
 
 	MaxInFlight int
+	// CPUShare is the share of the time of a core that this instance has, and CPUSpeed
+	// the speed of that core relative to a usual one.
+	CPUShare, CPUSpeed float64
 	// RetryRatio and RetrySlack are the retry budget of a service over all
 	// instances: repeats per request, and further repeats per window.
 	RetryRatio, RetrySlack float64
@@ -60,6 +63,8 @@
 		{"platform.heartbeat", false, "1s", duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Minute)},
 		{"shutdown.grace", false, "6s", duration(&s.Grace, 100*time.Millisecond, 10*time.Minute)},
 		{"limits.max_in_flight", false, "256", integer(&s.MaxInFlight, 1, 100_000)},
+		{"limits.cpu_share", false, "0.2", float(&s.CPUShare, 0, 1000)},
+		{"limits.cpu_speed", false, "1", float(&s.CPUSpeed, 0, 1000)},
 		{"retry.ratio", false, "0.2", float(&s.RetryRatio, 0, 10)},
 		{"retry.slack", false, "10", float(&s.RetrySlack, 0, 1_000_000)},
 		{"cold.overage", false, "1", float(&s.ColdOverage, 0, 100)},
