Gather queries over many shards through leaves

What callers saw: at 195 instances and replicas with 120 connections, every query over 87 shards was refused ("no replica"): an instance reached a replica with probability 0.55, and an answer needs 0.95 of the shards. A flat fan-out ends where instances outnumber connections.

Shards are divided into buckets; in each zone, a few instances (members, by weighted rendezvous over the list of instances, so that no word is exchanged) hold the connections to the replicas of a bucket. The instance that takes a query asks one member of each bucket in the nearest zones with replicas; calls to one member are joined. The member sends with the code of today, merges, and replies after a time in which most replicas have answered, with what it has; the rest stays with it and is asked for again. So a reply that is missing means a leaf that is lost, and slow replicas do not make a query be sent twice. Another leaf, first of another zone, is asked then; what it sends is paid from the retry budget. Shards that an instance sends to anyway and that have a replica in its region are sent to as before: a small deployment is the case without groups, but for shards that only another region has.

The budget of repeats gives out half of the slack over the window instead of all at once: leaves that get few requests had none.

--- a/internal/edge/gather.go
+++ b/internal/edge/gather.go
@@ -54,10 +54,10 @@
 	q, route := req.Query, req.Route
 	m := &peerpb.GatherRequest{
 		AttemptId: []byte(q.AttemptID), From: req.From, Route: route.Name, Method: q.Method, Uri: []byte(q.URI), Host: []byte(q.Host), Body: q.Body,
-		Shards: route.Shards, TopK: int32(route.TopK), MayMiss: int32(req.MayMiss), Objective: route.Objective.Microseconds(),
-		AnswerWithin: req.AnswerWithin.Microseconds(), ObjectiveWithin: req.ObjectiveWithin.Microseconds(),
-		LateWithin: req.LateWithin.Microseconds(), Within: req.Within.Microseconds(), MaxAttempts: int32(route.MaxAttempts),
-		Repeat: req.Repeat, Regions: route.Regions, Evacuated: req.Evacuated, Priority: int32(route.Priority),
+		Shards: route.Shards, TopK: int32(route.TopK), Call: req.Call, Resume: req.Resume, Objective: route.Objective.Microseconds(),
+		AnswerWithin: req.AnswerWithin.Microseconds(), ReplyWithin: req.ReplyWithin.Microseconds(),
+		Within: req.Within.Microseconds(), MaxAttempts: int32(route.MaxAttempts),
+		Repeat: req.Repeat, Regions: route.Regions, Evacuated: req.Evacuated, Home: req.Home, Priority: int32(route.Priority),
 	}
 	for name, values := range q.Header {
 		field := &peerpb.HeaderField{Name: name}
@@ -83,8 +83,8 @@
 			Name: m.Route, Objective: microseconds(m.Objective), MaxAttempts: int(m.MaxAttempts), Priority: int(m.Priority),
 			Regions: m.Regions, Shards: m.Shards, TopK: int(m.TopK),
 		},
-		MayMiss: int(m.MayMiss), AnswerWithin: microseconds(m.AnswerWithin), ObjectiveWithin: microseconds(m.ObjectiveWithin),
-		LateWithin: microseconds(m.LateWithin), Within: microseconds(m.Within), Repeat: m.Repeat, Evacuated: m.Evacuated,
+		Call: m.Call, Resume: m.Resume,
+		AnswerWithin: microseconds(m.AnswerWithin), ReplyWithin: microseconds(m.ReplyWithin), Within: microseconds(m.Within), Repeat: m.Repeat, Evacuated: m.Evacuated, Home: m.Home,
 	}
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -77,6 +77,6 @@
 		Shares: forward.Shares{
 			Self: s.Name, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 		},
-		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MaxInFlight: s.MaxInFlight,
+		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, MaxInFlight: s.MaxInFlight,
 	}
 }
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -7,52 +7,79 @@
 
 // RetryBudget bounds the repeats that this instance sends to each service: hedges
 // and retries, also those after a replica rejected the request. Each instance spends
-// at most its share of the slack plus a ratio of its own requests, in any period. The
+// at most its share of the slack plus a ratio of its own requests, in any window. The
 // sum over all instances therefore stays within the bound without coordination. It
 // is safe for concurrent use.
 type RetryBudget struct {
 	mu           sync.Mutex
 	ratio, slack float64
-	services     map[string]float64 // repeats left
+	window       time.Duration
+	services     map[string]*repeatBucket
 }
 
-// usableBudgetShare is the part of the bound that is spent. The rest covers
-// instances that the others have not discovered yet.
-const usableBudgetShare = 0.97
+// repeatBucket holds the repeats that are left for a service.
+type repeatBucket struct {
+	tokens     float64
+	share      float64 // of the slack
+	refilledAt time.Time
+}
+
+const (
+	// usableBudgetShare is the part of the bound that is spent. The rest covers
+	// instances that the others have not discovered yet.
+	usableBudgetShare = 0.97
+	// burstShare is the part of its share of the slack that an instance may spend at
+	// once. The rest comes in over the window, so that both together stay within the
+	// share in any window.
+	burstShare = 0.5
+)
 
 // NewRetryBudget returns an empty RetryBudget.
-func NewRetryBudget() *RetryBudget { return &RetryBudget{services: map[string]float64{}} }
+func NewRetryBudget() *RetryBudget { return &RetryBudget{services: map[string]*repeatBucket{}} }
 
 // SetBounds sets the bound over all instances: ratio repeats for each request,
-// plus slack repeats in any period.
-func (b *RetryBudget) SetBounds(ratio, slack float64) {
+// plus slack repeats in any window.
+func (b *RetryBudget) SetBounds(ratio, slack float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio, b.slack = ratio*usableBudgetShare, slack*usableBudgetShare
+	b.ratio, b.slack, b.window = ratio*usableBudgetShare, slack*usableBudgetShare, window
 }
 
 // AddRequest adds to the budget of a service for one request of a caller. instances
 // is the number of instances that share the bound.
-func (b *RetryBudget) AddRequest(service string, instances int) {
+func (b *RetryBudget) AddRequest(service string, instances int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := b.slack / float64(instances)
-	tokens, known := b.services[service]
-	if !known {
+	t := b.refill(service, now)
+	t.share = b.slack / float64(max(instances, 1))
+	t.tokens = min(t.tokens+b.ratio, max(t.share*burstShare, 1))
+}
+
+// refill returns the bucket of a service with what has come in over time. b.mu is held.
+func (b *RetryBudget) refill(service string, now time.Time) *repeatBucket {
+	t := b.services[service]
+	if t == nil {
 		// Starts with one token: the share may have been spent before a restart.
-		tokens = 1
+		t = &repeatBucket{tokens: 1, refilledAt: now}
+		b.services[service] = t
 	}
-	b.services[service] = min(tokens+b.ratio, max(limit, 1))
+	if passed := now.Sub(t.refilledAt); passed > 0 && b.window > 0 {
+		income := t.share * (1 - burstShare) * passed.Seconds() / b.window.Seconds()
+		t.tokens = max(t.tokens, min(t.tokens+income, t.share*burstShare))
+		t.refilledAt = now
+	}
+	return t
 }
 
 // TrySpend spends one repeat for a service. It returns false if none is left.
-func (b *RetryBudget) TrySpend(service string) bool {
+func (b *RetryBudget) TrySpend(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.services[service] < 1 {
+	t := b.refill(service, now)
+	if t.tokens < 1 {
 		return false
 	}
-	b.services[service]--
+	t.tokens--
 	return true
 }
 
@@ -60,7 +87,9 @@
 func (b *RetryBudget) Refund(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.services[service]++
+	if t := b.services[service]; t != nil {
+		t.tokens++
+	}
 }
 
 // Share divides a bound equally among n senders, rounded down.
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -29,7 +29,7 @@
 	if !r.route.IsScatter() {
 		return r.refuseIfNoCapacity(now)
 	}
-	if answered+open < r.required && !r.gather && !r.startDeferredShard() {
+	if answered+open < r.required && !r.startDeferredShard() {
 		return r.finalAnswer(answered, now), true
 	}
 	if answered >= r.required && r.mustAnswerNow(now) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +18,9 @@
 	Location Location
 	Shares   Shares
 	// RetryRatio and RetrySlack bound the repeats to a service over all instances: a
-	// number for each request, plus a number in any period.
+	// number for each request, plus a number in any RetryWindow.
 	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
 	// MaxInFlight bounds the requests in flight in this instance.
 	MaxInFlight int
 }
@@ -39,15 +41,18 @@
 	leafBook *leafBook
 	leaving  atomic.Bool
 
-	inFlight  atomic.Int64
-	gathering atomic.Int64  // requests of other instances in flight
-	splits    atomic.Uint64 // requests to routes with a traffic split
+	inFlight atomic.Int64
+	splits   atomic.Uint64 // requests to routes with a traffic split
+	lastCall atomic.Uint64 // number of the last call to a leaf
+
+	partsMu sync.Mutex
+	parts   map[partKey]*part // of queries of other instances
 }
 
 // NewForwarder returns a Forwarder. leaves may be nil.
 func NewForwarder(logger *log.Logger, scope tally.Scope, store *catalog.Store, pool *replica.Pool, leaves Leaves, o Options) *Forwarder {
 	f := &Forwarder{
-		logger: logger, store: store, pool: pool, leaves: leaves, leafBook: newLeafBook(), budget: NewRetryBudget(), metrics: newMetrics(scope),
+		logger: logger, store: store, pool: pool, leaves: leaves, leafBook: newLeafBook(), parts: map[partKey]*part{}, budget: NewRetryBudget(), metrics: newMetrics(scope),
 	}
 	f.Configure(o)
 	return f
@@ -56,7 +61,7 @@
 // Configure replaces the options. Requests in flight may still use the old ones.
 func (f *Forwarder) Configure(o Options) {
 	f.options.Store(&o)
-	f.budget.SetBounds(o.RetryRatio, o.RetrySlack)
+	f.budget.SetBounds(o.RetryRatio, o.RetrySlack, o.RetryWindow)
 }
 
 // InFlight returns the number of requests in flight.
@@ -151,11 +156,11 @@
 		}
 		own++
 		if !r.repeat {
-			r.f.budget.AddRequest(s, view.sendersOf(s).count)
+			r.f.budget.AddRequest(s, view.sendersOf(s).count, r.start)
 		}
 	}
 	r.results = make(chan exchangeResult, own*maxShardSends)
-	r.calls, r.ended = make(chan *leafCall), make(chan struct{})
+	r.leafReplies, r.ended = make(chan *leafReply), make(chan struct{})
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/forward/groups.go
+++ b/internal/forward/groups.go
@@ -13,9 +13,12 @@
 const (
 	// maxLeavesAsked bounds the leaves that are asked in one zone.
 	maxLeavesAsked = 2
-	// maxGroupCalls bounds the calls for one group, those to a leaf that is asked again
-	// included.
-	maxGroupCalls = 8
+	// maxGroupCalls bounds the calls for one group.
+	maxGroupCalls = 4
+	// maxResumes bounds how often a leaf is asked for the rest of a call.
+	maxResumes = 4
+	// minLeafReplyTime is the least time after which a leaf has to reply.
+	minLeafReplyTime = 5 * time.Millisecond
 )
 
 // shardGroup is a group of shards of a query for which members of a bucket in a zone are
@@ -28,19 +31,31 @@
 	asked  []string // names of the leaves that were asked
 	calls  int
 	next   policy.Instance
-	// repeat is set once a leaf may have sent the query to replicas.
+	// repeat is set once a leaf may have sent the query to replicas, silent if one did not
+	// reply in time.
 	repeat  bool
+	silent  bool
 	hedgeAt time.Time // zero if no hedge is scheduled
 }
 
-// leafCall is a call to a leaf for the open shards of one or more groups.
+// leafCall is a call to a leaf for the open shards of one or more groups. While some of
+// them are pending at the leaf, it is asked again.
 type leafCall struct {
-	leaf    policy.Instance
-	groups  []*shardGroup
-	shards  []int // indexes in the request
+	number uint64
+	leaf   policy.Instance
+	groups []*shardGroup
+	shards []int // indexes in the request
+	// due are the shards without a final reply, by their index in shards.
+	due     map[int]bool
+	resumes int
+}
+
+// leafReply is the end of one exchange with a leaf.
+type leafReply struct {
+	call    *leafCall
 	started time.Time
-	reply   GatherReply
-	err     error
+	GatherReply
+	err error
 }
 
 func newShardGroup(r *activeRequest, g plannedGroup) *shardGroup {
@@ -69,7 +84,7 @@
 	}
 	book := g.r.f.leafBook
 	for _, leaf := range g.leaves {
-		if !slices.Contains(g.asked, leaf.Name) && !book.ejected(leaf.Name, now) {
+		if !slices.Contains(g.asked, leaf.Name) && !book.askLast(leaf.Name, now) {
 			g.next = leaf
 			return true
 		}
@@ -78,7 +93,7 @@
 }
 
 // startGroups makes the next call for each of the groups. A group whose zone has no leaf
-// left is divided into groups in other zones, see moveGroup.
+// left, or may be cut off, is divided into groups in other zones, see moveGroup.
 func (r *activeRequest) startGroups(groups []*shardGroup, now time.Time) {
 	var ready []*shardGroup
 	for pending := slices.Clone(groups); len(pending) > 0; {
@@ -87,7 +102,7 @@
 		g.hedgeAt = time.Time{}
 		switch {
 		case len(g.open()) == 0:
-		case g.chooseLeaf(now):
+		case !g.silent && g.chooseLeaf(now):
 			ready = append(ready, g)
 		default:
 			pending = append(pending, r.moveGroup(g, now)...)
@@ -99,8 +114,8 @@
 }
 
 // moveGroup divides the open shards of a group into new groups in zones where no leaf was
-// asked for them. Where there is none, an ejected leaf of the group is asked, or the
-// shards are closed unless a call for them is in flight.
+// asked for them. For the others, any leaf of the group is asked that was not yet; without
+// one, they are closed unless a call for them is in flight.
 func (r *activeRequest) moveGroup(g *shardGroup, now time.Time) (moved []*shardGroup) {
 	open := g.open()
 	for _, p := range r.f.currentView().groupShards(r.route, open, g.zones) {
@@ -114,17 +129,20 @@
 		}
 	}
 	g.shards = slices.DeleteFunc(open, func(i int) bool { return r.shards[i].group != g })
-	if len(g.open()) == 0 || g.isWaiting() {
+	if len(g.open()) == 0 {
 		return moved
 	}
-	for _, leaf := range g.leaves {
-		if !slices.Contains(g.asked, leaf.Name) && g.calls < maxGroupCalls {
-			g.next = leaf
-			r.callLeaf([]*shardGroup{g}, now)
-			return moved
-		}
+	next := slices.IndexFunc(g.leaves, func(leaf policy.Instance) bool { return !slices.Contains(g.asked, leaf.Name) })
+	switch {
+	case g.chooseLeaf(now):
+		r.callLeaf([]*shardGroup{g}, now)
+	case g.isWaiting():
+	case next >= 0 && g.calls < maxGroupCalls:
+		g.next = g.leaves[next]
+		r.callLeaf([]*shardGroup{g}, now)
+	default:
+		g.close("no leaf")
 	}
-	g.close("no leaf")
 	return moved
 }
 
@@ -139,124 +157,143 @@
 	}
 }
 
-// callLeaf calls the next leaf of some groups. The end of the call arrives on r.calls.
+// callLeaf calls the next leaf of some groups.
 func (r *activeRequest) callLeaf(groups []*shardGroup, now time.Time) {
-	call := &leafCall{leaf: groups[0].next, groups: groups, started: now}
+	call := &leafCall{number: r.f.lastCall.Add(1), leaf: groups[0].next, groups: groups, due: map[int]bool{}}
 	repeat := false
+	var names []string
 	for _, g := range groups {
-		call.shards = append(call.shards, g.open()...)
 		g.asked = append(g.asked, call.leaf.Name)
 		g.calls++
 		repeat = repeat || g.repeat
+		for _, i := range g.open() {
+			sh := &r.shards[i]
+			repeat = repeat || sh.leafCalls > 0
+			sh.leafCalls++
+			call.due[len(call.shards)] = true
+			call.shards = append(call.shards, i)
+			names = append(names, sh.service)
+		}
 	}
-	for _, i := range call.shards {
-		repeat = repeat || r.shards[i].leafCalls > 0
-		r.shards[i].leafCalls++
-	}
-	r.inFlight++
 	r.leafCalls++
-	names := make([]string, len(call.shards))
-	for n, i := range call.shards {
-		names[n] = r.shards[i].service
-	}
-	expected, deviation := r.usualLeafTime(call.leaf)
-	r.scheduleLeafHedge(groups, expected, deviation, now)
-	overhead := r.leafOverhead(call.leaf)
-	req := &GatherRequest{
-		Query: r.req, From: r.f.options.Load().Shares.Self, Route: scatterRoute(r.route, names), Repeat: repeat,
-		MayMiss:      len(r.shards) - r.required,
-		AnswerWithin: max(r.objectiveDeadline().Sub(now)-overhead, 0), ObjectiveWithin: max(r.objective.Sub(now)-overhead, 0),
-		LateWithin: max(r.lateAnswerDeadline().Sub(now)-overhead, 0), Within: r.deadline.Sub(now),
-		Evacuated: r.f.store.Load().Evacuated(),
-	}
-	r.f.leafBook.start(call.leaf.Name, now)
 	r.f.metrics.leafCalls.Inc(1)
 	if repeat {
 		r.f.metrics.leafRepeats.Inc(1)
 	}
+	r.exchangeWithLeaf(call, &GatherRequest{
+		Query: r.req, Route: scatterRoute(r.route, names), Repeat: repeat, Home: groups[0].zones[0], Evacuated: r.f.store.Load().Evacuated(),
+		ReplyWithin: r.firstReplyWithin(call.leaf, now),
+	}, now)
+}
+
+// resumeCall asks the leaf of a call for the shards that are pending there.
+func (r *activeRequest) resumeCall(call *leafCall, now time.Time) {
+	call.resumes++
+	within := r.objectiveDeadline().Sub(now) - r.leafOverhead(call.leaf)
+	if within < minLeafReplyTime {
+		// The objective is missed; the leaf replies once it has all, or when an answer
+		// without the rest is sent.
+		within = max(r.lateAnswerDeadline().Sub(now), minLeafReplyTime)
+	}
+	r.exchangeWithLeaf(call, &GatherRequest{Query: &Request{AttemptID: r.req.AttemptID}, Resume: true, Route: noRoute, ReplyWithin: within}, now)
+}
+
+// exchangeWithLeaf sends one request of a call. Its reply arrives on r.leafReplies. If it
+// is overdue, other leaves are asked.
+func (r *activeRequest) exchangeWithLeaf(call *leafCall, req *GatherRequest, now time.Time) {
+	overhead := r.leafOverhead(call.leaf)
+	req.From, req.Call = r.f.options.Load().Shares.Self, call.number
+	req.Within = r.deadline.Sub(now)
+	req.ReplyWithin = min(req.ReplyWithin, req.Within)
+	req.AnswerWithin = max(r.objectiveDeadline().Sub(now)-overhead, 0)
+	for _, g := range call.groups {
+		g.hedgeAt = now.Add(req.ReplyWithin + overhead + minHedgeDelay)
+	}
+	r.inFlight++
+	r.f.leafBook.start(call.leaf.Name, now)
 	go func() {
-		call.reply, call.err = r.f.leaves.Gather(r.sendCtx, call.leaf.Name, req)
-		if call.err == nil {
-			if err := call.reply.validate(len(names), r.route.TopK); err != nil {
+		reply := leafReply{call: call, started: now}
+		reply.GatherReply, reply.err = r.f.leaves.Gather(r.sendCtx, call.leaf.Name, req)
+		if reply.err == nil {
+			if reply.err = reply.validate(call.due, r.route.TopK); reply.err != nil {
 				r.f.metrics.leafRepliesUnusable.Inc(1)
-				call.err = err
 			}
 		}
-		r.f.leafBook.finish(call, r.sendCtx.Err() != nil, time.Now())
-		if call.err == nil {
-			r.recordLeafTimes(call)
+		r.f.leafBook.finish(&reply, r.sendCtx.Err() != nil, time.Now())
+		if reply.err == nil {
+			r.recordLeafTimes(&reply)
 		}
 		select {
-		case r.calls <- call:
+		case r.leafReplies <- &reply:
 		case <-r.ended:
 		}
 	}()
 }
 
-// handleCall updates the groups of a call that has ended.
-func (r *activeRequest) handleCall(call *leafCall, now time.Time) {
+// handleLeafReply updates the shards of a call after an exchange with its leaf.
+func (r *activeRequest) handleLeafReply(reply *leafReply, now time.Time) {
 	r.inFlight--
-	for _, i := range call.shards {
-		r.shards[i].leafCalls--
-	}
-	if call.err != nil {
-		r.handleLostCall(call, now)
+	call := reply.call
+	if reply.err != nil {
+		r.handleLostCall(reply, now)
 		return
 	}
-	set := make([]int, 0, len(call.reply.Answered))
-	for _, a := range call.reply.Answered {
-		set = append(set, call.shards[a.Shard])
+	set := make([]int, 0, len(reply.Answered))
+	for _, a := range reply.Answered {
+		delete(call.due, a.Shard)
+		i := call.shards[a.Shard]
+		r.shards[i].leafCalls--
+		set = append(set, i)
 	}
-	r.replies = append(r.replies, gatheredReply{shards: set, reply: call.reply})
+	r.replies = append(r.replies, gatheredReply{shards: set, reply: reply.GatherReply})
 	r.chooseReplies()
-	for _, m := range call.reply.Missing {
+	for _, m := range reply.Missing {
 		sh := &r.shards[call.shards[m.Shard]]
 		sh.mayHaveRun = sh.mayHaveRun || m.MayHaveRun
-		if sh.answered() {
+		if m.Pending {
 			continue
 		}
-		sh.reason = m.Reason
-		// Another call in flight may still bring what this leaf could not get.
-		sh.closed = !m.Pending && sh.leafCalls == 0
+		delete(call.due, m.Shard)
+		sh.leafCalls--
+		if !sh.answered() {
+			sh.reason = m.Reason
+			// Another call in flight may still bring what this leaf could not get.
+			sh.closed = sh.leafCalls == 0
+		}
 	}
-	var again []*shardGroup
 	for _, g := range call.groups {
 		g.repeat = true
-		if len(g.open()) > 0 && !g.isWaiting() {
-			// The leaf is asked again for what it was still waiting for.
-			g.asked = slices.DeleteFunc(g.asked, func(name string) bool { return name == call.leaf.Name })
-			again = append(again, g)
-		}
+		g.hedgeAt = time.Time{} // the leaf answers
 	}
-	if r.needsMore(now) {
-		r.startGroups(again, now)
-		return
-	}
-	for _, g := range again {
-		g.close("late")
+	if len(call.due) > 0 && call.resumes < maxResumes && now.Before(r.deadline) {
+		r.resumeCall(call, now)
 	}
 }
 
-// handleLostCall asks the next leaves after a call without a reply.
-func (r *activeRequest) handleLostCall(call *leafCall, now time.Time) {
-	mayHaveRun := !errors.Is(call.err, ErrNotGathered)
+// handleLostCall asks the next leaves after an exchange without a reply.
+func (r *activeRequest) handleLostCall(reply *leafReply, now time.Time) {
+	call := reply.call
+	mayHaveRun := !errors.Is(reply.err, ErrNotGathered)
 	reason := "leaf refused"
 	if mayHaveRun {
 		reason = "leaf lost"
 	}
+	for shard := range call.due {
+		sh := &r.shards[call.shards[shard]]
+		sh.leafCalls--
+		sh.mayHaveRun = sh.mayHaveRun || mayHaveRun
+		if !sh.answered() {
+			sh.reason = reason
+		}
+	}
 	var again []*shardGroup
 	for _, g := range call.groups {
 		g.repeat = g.repeat || mayHaveRun
-		for _, i := range g.open() {
-			sh := &r.shards[i]
-			sh.mayHaveRun = sh.mayHaveRun || mayHaveRun
-			sh.reason = reason
-		}
 		if !g.isWaiting() {
 			again = append(again, g)
 		}
 	}
-	r.logLostCall(call, reason, now)
+	r.logLostCall(reply, reason, now)
 	if now.Before(r.deadline) {
 		r.startGroups(again, now)
 	}
@@ -303,17 +340,6 @@
 	}
 }
 
-// needsMore reports whether an answer needs, or may still wait for, more shards.
-func (r *activeRequest) needsMore(now time.Time) bool {
-	answered := 0
-	for i := range r.shards {
-		if r.shards[i].answered() {
-			answered++
-		}
-	}
-	return answered < r.required || now.Before(r.objectiveDeadline())
-}
-
 // startDueGroups makes the calls that are due.
 func (r *activeRequest) startDueGroups(now time.Time) {
 	var due []*shardGroup
@@ -323,7 +349,7 @@
 		}
 		g.hedgeAt = time.Time{}
 		if g.isWaiting() {
-			g.repeat = true
+			g.repeat, g.silent = true, true
 			due = append(due, g)
 		}
 	}
@@ -342,15 +368,15 @@
 	return next
 }
 
-// scheduleLeafHedge sets when another leaf is asked for groups whose leaf was just called:
-// when the call is overdue, but early enough for the other one to meet the objective.
-func (r *activeRequest) scheduleLeafHedge(groups []*shardGroup, expected, deviation time.Duration, now time.Time) {
-	delay := max(expected+hedgeDeviations*deviation, expected*3/2, minHedgeDelay)
-	latest := r.objectiveDeadline().Sub(now) - expected - deviation
-	delay = min(delay, max(latest, expected+deviation, minHedgeDelay))
-	for _, g := range groups {
-		g.hedgeAt = now.Add(delay)
-	}
+// firstReplyWithin returns when a leaf has to reply to the first request of a call: late
+// enough for most of its replicas, pauses included, and early enough for another leaf to
+// answer within the objective if there is no reply.
+func (r *activeRequest) firstReplyWithin(leaf policy.Instance, now time.Time) time.Duration {
+	expected, deviation := r.usualLeafTime(leaf)
+	left := r.objectiveDeadline().Sub(now) - r.leafOverhead(leaf)
+	latest := left - expected - deviation - minHedgeDelay
+	usual := expected + hedgeDeviations*deviation
+	return max(min(max(usual, left/2), latest), expected, minLeafReplyTime)
 }
 
 // leafClass is the class of the times of calls to leaves in a zone.
@@ -387,10 +413,14 @@
 	return time.Duration(assumedLatencyShare[distance] * float64(r.route.Objective))
 }
 
-func (r *activeRequest) recordLeafTimes(call *leafCall) {
-	took := time.Since(call.started)
-	r.f.pool.Latencies.Record(r.leafClass(call.leaf), took)
-	r.f.pool.Latencies.Record(leafOverheadClass(call.leaf), max(took-call.reply.Took, 0))
+// recordLeafTimes records the times of an exchange with a leaf; the whole time only if it
+// brought all shards.
+func (r *activeRequest) recordLeafTimes(reply *leafReply) {
+	took := time.Since(reply.started)
+	r.f.pool.Latencies.Record(leafOverheadClass(reply.call.leaf), max(took-reply.Took, 0))
+	if len(reply.Answered) == len(reply.call.shards) {
+		r.f.pool.Latencies.Record(r.leafClass(reply.call.leaf), took)
+	}
 }
 
 // prepareInterval is how long after the last call to a leaf its connection is used again.
@@ -416,8 +446,8 @@
 			continue
 		}
 		for _, g := range view.plan(route).groups {
-			for _, leaf := range g.leaves[:min(preparedLeaves, len(g.leaves))] {
-				if f.leafBook.startPreparing(leaf.Name, now, prepareInterval) {
+			for n, leaf := range g.leaves {
+				if f.leafBook.startPreparing(leaf.Name, n < preparedLeaves, now, prepareInterval) {
 					go f.prepareLeaf(ctx, leaf.Name)
 				}
 			}
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -135,24 +135,30 @@
 	e.Msg("request ended")
 }
 
-// logGather logs a request of another instance that this one has served.
-func (r *activeRequest) logGather(req *GatherRequest, reply GatherReply) {
+// logPart logs the end of a part of a query that this instance gathered for another one.
+func (p *part) logPart(req *GatherRequest) {
+	missing := 0
+	for i := range p.shards {
+		if !p.shards[i].answered() {
+			missing++
+		}
+	}
 	level := log.DebugLevel
-	if len(reply.Missing) > 0 {
+	if missing > 0 {
 		level = log.InfoLevel
 	}
-	e := r.f.logger.WithLevel(level).Str("event", "gather").Str("request_id", r.req.AttemptID).Str("from", req.From).Str("route", r.route.Name).
-		Bool("repeat", r.repeat).Int("shards", len(r.shards)).Int("missing", len(reply.Missing)).Dur("took", reply.Took).Dur("answer_within", req.AnswerWithin)
-	if len(reply.Missing) > 0 {
-		e = e.Strs("absent", r.describeMissing())
+	e := p.f.logger.WithLevel(level).Str("event", "part").Str("request_id", p.req.AttemptID).Str("from", req.From).Str("route", p.route.Name).
+		Bool("repeat", p.repeat).Int("shards", len(p.shards)).Int("missing", missing).Dur("took", time.Since(p.start)).Dur("answer_within", req.AnswerWithin)
+	if missing > 0 {
+		e = e.Strs("absent", p.describeMissing())
 	}
 	e.Msg("part of a query gathered for another instance")
 }
 
-// logLostCall logs a call to a leaf that brought no reply.
-func (r *activeRequest) logLostCall(call *leafCall, reason string, now time.Time) {
-	r.f.logger.Warn().Str("event", "leaf").Str("request_id", r.req.AttemptID).Str("leaf", call.leaf.Name).Str("reason", reason).
-		Int("shards", len(call.shards)).Dur("age", now.Sub(r.start)).Dur("took", now.Sub(call.started)).Err(call.err).Msg("leaf did not answer")
+// logLostCall logs an exchange with a leaf that brought no reply.
+func (r *activeRequest) logLostCall(reply *leafReply, reason string, now time.Time) {
+	r.f.logger.Warn().Str("event", "leaf").Str("request_id", r.req.AttemptID).Str("leaf", reply.call.leaf.Name).Str("reason", reason).
+		Int("shards", len(reply.call.due)).Dur("age", now.Sub(r.start)).Dur("took", now.Sub(reply.started)).Err(reply.err).Msg("leaf did not answer")
 }
 
 // logExchange logs an exchange that brought no successful reply.
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		list := r.candidates(sh.service, now)
-		if r.route.IsScatter() && !r.gather {
+		if r.route.IsScatter() && !r.isPart {
 			if latency, late := r.shardLatency(list, now); late {
 				overloaded = append(overloaded, overloadedShard{i, latency.Seconds() * (1 + costSpread*rand.Float64())})
 				sh.closed, sh.reason = true, "overloaded"
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -105,18 +105,19 @@
 	// order of cost. They are closed until they are started.
 	deferred []int
 
-	// groups are the groups of shards for which leaves are asked; calls brings the ends
-	// of the calls, and replies has their replies.
-	groups    []*shardGroup
-	calls     chan *leafCall
-	ended     chan struct{} // closed at the end of runToEnd
-	replies   []gatheredReply
-	leafCalls int
+	// groups are the groups of shards for which leaves are asked; leafReplies brings what
+	// these reply, and replies has what they answered.
+	groups      []*shardGroup
+	leafReplies chan *leafReply
+	ended       chan struct{} // closed at the end of runToEnd
+	replies     []gatheredReply
+	leafCalls   int
 
-	// gather is set if another instance asks for a part of a query, see Gather. If repeat
+	// isPart is set if another instance asks for a part of a query, see Gather. If repeat
 	// is set too, the first exchanges are paid as repeats. evacuated are the zones that
 	// the asking instance knows to be evacuated.
-	gather, repeat bool
+	isPart, repeat bool
+	home           string // see GatherRequest
 	evacuated      []string
 }
 
@@ -142,19 +143,13 @@
 		case e := <-r.results:
 			r.handleResult(e)
 			r.drainResults()
-		case call := <-r.calls:
-			r.handleCall(call, time.Now())
+		case reply := <-r.leafReplies:
+			r.handleLeafReply(reply, time.Now())
 		case <-timer.C:
 			r.startDueExchanges(time.Now())
 			r.startDueGroups(time.Now())
 		case <-r.ctx.Done():
-			if r.gather {
-				// The caller may have its answer from others: connections are kept if
-				// the exchanges end soon.
-				r.releaseExchanges()
-			} else {
-				r.cancel()
-			}
+			r.cancel()
 			return Answer{Code: Abandoned}
 		}
 	}
@@ -185,7 +180,7 @@
 // shards have a usable replica that admits the request in time.
 func (r *activeRequest) refuseIfUnavailable() (Answer, bool) {
 	available := r.closeUnservableShards(time.Now())
-	if available > 0 && available >= r.required || r.gather {
+	if available > 0 && available >= r.required {
 		return Answer{}, false
 	}
 	return r.refuse("no replica"), true
--- a/internal/forward/scatterplan.go
+++ b/internal/forward/scatterplan.go
@@ -110,14 +110,16 @@
 	return members
 }
 
-// joinCalls joins groups whose next leaf is the same one into calls, as far as a leaf
-// bears it.
+// joinCalls joins groups whose next leaf is the same one, and that were first asked in the
+// same zone, into calls, as far as a leaf bears it.
 func joinCalls(groups []*shardGroup) (calls [][]*shardGroup) {
-	slices.SortStableFunc(groups, func(a, b *shardGroup) int { return cmp.Compare(a.next.Name, b.next.Name) })
+	slices.SortStableFunc(groups, func(a, b *shardGroup) int {
+		return cmp.Or(cmp.Compare(a.next.Name, b.next.Name), cmp.Compare(a.zones[0], b.zones[0]))
+	})
 	size := 0
 	for _, g := range groups {
 		open := len(g.open())
-		if last := len(calls) - 1; last >= 0 && calls[last][0].next.Name == g.next.Name && policy.JoinsCall(size+open, g.next) {
+		if last := len(calls) - 1; last >= 0 && calls[last][0].next.Name == g.next.Name && calls[last][0].zones[0] == g.zones[0] && policy.JoinsCall(size+open, g.next) {
 			calls[last], size = append(calls[last], g), size+open
 			continue
 		}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -41,7 +41,7 @@
 	if len(r.evacuated) > 0 {
 		list = slices.DeleteFunc(list, func(c candidate) bool { return r.isEvacuated(c.replica.Zone) })
 	}
-	return list
+	return r.restrictToAttempts(list)
 }
 
 // sendToFirstAvailable sends to the first candidate that has a free connection and
@@ -255,7 +255,7 @@
 	if sh.sends == 0 {
 		return true
 	}
-	if r.f.budget.TrySpend(sh.service) {
+	if r.f.budget.TrySpend(sh.service, time.Now()) {
 		return true
 	}
 	r.f.metrics.repeatsWithoutBudget.Inc(1)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -37,8 +37,9 @@
 	// the speed of that core relative to a usual one.
 	CPUShare, CPUSpeed float64
 	// RetryRatio and RetrySlack are the retry budget of a service over all
-	// instances: repeats per request, and further repeats per window.
+	// instances: repeats per request, and further repeats in any RetryWindow.
 	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
 	// ColdOverage and ColdSlack bound the requests that all instances together
 	// send to a cold replica in any second: ColdOverage times the rate that the
 	// replica allows, plus ColdSlack requests.
@@ -67,6 +68,7 @@
 		{"limits.cpu_speed", false, "1", float(&s.CPUSpeed, 0, 1000)},
 		{"retry.ratio", false, "0.2", float(&s.RetryRatio, 0, 10)},
 		{"retry.slack", false, "10", float(&s.RetrySlack, 0, 1_000_000)},
+		{"retry.window", false, "10s", duration(&s.RetryWindow, time.Second, time.Hour)},
 		{"cold.overage", false, "1", float(&s.ColdOverage, 0, 100)},
 		{"cold.slack", false, "0", float(&s.ColdSlack, 0, 1_000_000)},
 		{"log.level", false, "info", oneOf(&s.LogLevel, "debug", "info", "warn", "error")},
