Ask seeds before the store at the start

An instance that is not a seed now asks the seeds first, for 5 s at the first start of the deployment and 1.5 s at others, and reads from the store itself if none has a recent answer. Ruled out: a seed with an old state is not used, as with any reader (TestStartingInstanceAsksSeeds).

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -116,6 +116,16 @@
 // peerOptions bounds the connections between instances, of which each one has many.
 var peerOptions = peer.Options{ConnsPerPeer: 1, PingAfter: 5 * time.Second}
 
+// startWait returns for how long an instance that starts asks the seeds before it reads
+// from the store itself. If all instances start for the first time, the seeds have read
+// nothing yet and no caller waits.
+func startWait(first bool) time.Duration {
+	if first {
+		return 5 * time.Second
+	}
+	return 1500 * time.Millisecond
+}
+
 // addStoreControllers adds the controllers that keep the catalog up to date with
 // the store, those that relay between instances, and the peer server.
 func (d *Daemon) addStoreControllers() {
@@ -132,6 +142,9 @@
 	relay := follow.NewRelay(d.logger, d.link, d.peers,
 		follow.MaxRelayAge(s.Contact),
 		config, replicas, evacuations, instances)
+	if len(d.peers.otherSeeds()) > 0 {
+		relay.AwaitSeeds(startWait(s.FirstStart))
+	}
 	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerService{relay, d.forwarder})
 	d.components = append(d.components, replicaSink.Run, zoneSink.Run, instanceSink.Run, d.registrar.Run,
 		config.Run, replicas.Run, evacuations.Run, relay.Run, d.peerServer.Run,
@@ -214,7 +227,7 @@
 	snap := d.catalog.Load()
 	doc := status.EdgeDocument{
 		Instance: d.settings.Load().Name, Zone: d.settings.Load().Zone, Ready: d.isReady(), StoreLost: d.link.Lost(), StoreEra: d.link.Era(),
-		Evacuated: snap.Evacuated(), InstanceNames: snap.InstanceNames, InFlight: d.forwarder.InFlight(), Replicas: d.pool.Reports(time.Now()),
+		Evacuated: snap.Evacuated(), InstanceNames: snap.InstanceNames, InFlight: d.forwarder.InFlight(), Gathering: d.forwarder.Gathering(), Replicas: d.pool.Reports(time.Now()),
 	}
 	if snap.Config != nil {
 		doc.ConfigVersion = snap.Config.Version
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -29,9 +29,13 @@
 
 // Readers implements follow.Peers. The first instance of each zone by name is the
 // zone's reader, which reads from the store. The others ask the reader of their
-// own zone, and after it those of other zones in random order.
+// own zone, and after it those of other zones in random order. Until the list of
+// instances is known, the seeds are the readers.
 func (p *peers) Readers() []string {
 	snap := p.catalog.Load()
+	if snap.InstanceNames == nil {
+		return p.otherSeeds()
+	}
 	readers := map[string]string{} // address by zone
 	for _, name := range snap.InstanceNames {
 		instance := snap.Instances[name]
@@ -56,6 +60,17 @@
 	return ordered
 }
 
+// otherSeeds returns the seeds in random order; none if this instance is one of them, so
+// that it reads from the store.
+func (p *peers) otherSeeds() []string {
+	if slices.Contains(p.seeds, p.ownAddress) {
+		return nil
+	}
+	seeds := slices.Clone(p.seeds)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds
+}
+
 // Any implements follow.Peers. It chooses at random, so that an instance that does
 // not answer, or has no later state, is not asked each time in place of others.
 func (p *peers) Any() string {
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -67,6 +67,9 @@
 	relayTimeout = 400 * time.Millisecond
 	// maxReadersAsked bounds the readers that are asked in one round.
 	maxReadersAsked = 2
+	// startInterval is the pause between two rounds while a starting instance has nothing
+	// yet.
+	startInterval = 100 * time.Millisecond
 	// avoidFor is how long a reader that did not answer is not asked again.
 	avoidFor = 5 * time.Second
 )
@@ -109,6 +112,10 @@
 	maxAge      time.Duration
 	avoidUntil  map[string]time.Time
 	storePaused bool
+	// startUntil is the end of the time in which a starting instance waits for what
+	// others have read. startTimeout bounds one request then.
+	startUntil   time.Time
+	startTimeout time.Duration
 }
 
 // NewRelay returns a Relay for followers. Relayed answers replace the store's while
@@ -117,15 +124,35 @@
 	return &Relay{logger: logger, link: link, peers: peers, followers: followers, maxAge: maxAge, avoidUntil: map[string]time.Time{}}
 }
 
+// AwaitSeeds makes an instance that starts ask others before it reads from the store, for
+// some time at most: if all instances of a large fleet list the store when they start
+// together, that is most of the calls of a day. It is called before Run and before the
+// followers run.
+func (r *Relay) AwaitSeeds(wait time.Duration) {
+	// The answer holds all objects, and all instances may start at once. There is time to
+	// ask two.
+	r.startUntil, r.startTimeout = time.Now().Add(wait), wait/2
+	r.link.pause(time.Time{}, r.startUntil)
+}
+
 // Run asks other instances in intervals until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r.askInstances(ctx)
-		sleep(ctx, relayInterval)
+		if r.isStarting() {
+			sleep(ctx, startInterval)
+		} else {
+			sleep(ctx, relayInterval)
+		}
 	}
 	return nil
 }
 
+// isStarting reports whether this instance still waits for what others have read.
+func (r *Relay) isStarting() bool {
+	return time.Now().Before(r.startUntil) && !r.storePaused
+}
+
 // askInstances asks the readers until one gives a recent and complete answer, and
 // then pauses calls to the store. If none does and the link is lost, it asks any
 // other instance.
@@ -175,7 +202,11 @@
 // replaces one of the store; if it does not, it is used only while the link is
 // lost.
 func (r *Relay) fetchFrom(ctx context.Context, instance string) (confirmed time.Time, fresh bool) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	timeout := relayTimeout
+	if r.isStarting() {
+		timeout = max(min(r.startTimeout, time.Until(r.startUntil)), relayTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	have := make(map[string]Revision, len(r.followers))
 	for _, f := range r.followers {
@@ -184,7 +215,9 @@
 	askedAt := time.Now()
 	a, err := r.peers.Fetch(ctx, instance, have)
 	if err != nil {
-		r.avoidUntil[instance] = time.Now().Add(avoidFor)
+		if !r.isStarting() { // or the instance may be starting too
+			r.avoidUntil[instance] = time.Now().Add(avoidFor)
+		}
 		r.logger.Info().Str("event", "peer silent").Str("peer", instance).Err(err).Msg("instance did not answer a request for its listings")
 		return time.Time{}, false
 	}
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -48,10 +48,19 @@
 
 // start adds an instance and runs it until ctx ends.
 func (g *group) start(ctx context.Context, name string, readers ...string) *member {
+	return g.startAfterSeeds(ctx, name, 0, readers...)
+}
+
+// startAfterSeeds is start for an instance that waits for its readers before it reads from
+// the store.
+func (g *group) startAfterSeeds(ctx context.Context, name string, wait time.Duration, readers ...string) *member {
 	logger := logs.OrDiscard(nil)
 	m := &member{group: g, name: name, readers: readers, store: &fakeStore{era: 1, revision: 1}, link: NewLink(logger), sink: &replacingSink{}, state: &stateSink{}}
 	m.follower = NewFollower(logger, "things", m.link, m.store, sinks{m.sink, m.state}, WatchWait(contactTime), 0)
 	m.relay = NewRelay(logger, m.link, m, MaxRelayAge(contactTime), m.follower)
+	if wait > 0 {
+		m.relay.AwaitSeeds(wait)
+	}
 	g.mu.Lock()
 	g.members[name] = m
 	g.mu.Unlock()
@@ -120,6 +129,37 @@
 	})
 }
 
+// If all instances of a large fleet list the store when they start, that is most of the
+// calls of a day. Guards against that, against an instance that never reads if its seeds
+// do not answer, and against one that takes over what a seed knows that lost the store.
+func TestStartingInstanceAsksSeeds(t *testing.T) {
+	const wait = 1500 * time.Millisecond
+	runRelayTest(t, func(ctx context.Context, g *group) {
+		seed := g.start(ctx, "seed")
+		addObject("a", seed)
+		started := g.startAfterSeeds(ctx, "started", wait, "seed")
+		time.Sleep(wait)
+		if n, calls := started.sink.listed(), started.calls(); n != 1 || calls != 0 {
+			t.Errorf("%d objects after %d calls to the store, want 1 and none", n, calls)
+		}
+		seed.unresponsive.Store(true)
+		alone := g.startAfterSeeds(ctx, "alone", wait, "seed")
+		time.Sleep(wait + time.Second)
+		if alone.calls() == 0 {
+			t.Error("the instance waits for seeds that do not answer")
+		}
+		seed.unresponsive.Store(false)
+		seed.store.withLock(func() { seed.store.unavailable = true })
+		time.Sleep(2 * MaxRelayAge(contactTime))
+		later := g.startAfterSeeds(ctx, "later", wait, "seed")
+		later.store.withLock(func() { later.store.revision = 5 })
+		time.Sleep(wait + time.Second)
+		if r := later.follower.Revision(); r.Number != 5 {
+			t.Errorf("revision %v, want 5", r)
+		}
+	})
+}
+
 // Guards against an instance that keeps an outdated state because the store refuses
 // only its calls, while other instances have the current one. It also has to call
 // the store again once the store accepts its calls.
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -22,6 +22,8 @@
 	// Seeds are peer addresses that are used along with those of the registered
 	// instances, and alone until the list of these is known.
 	Seeds []string
+	// FirstStart is set if all instances of the deployment start for the first time.
+	FirstStart bool
 
 	PlatformAddress string
 	// Contact is the time within which the instance has to be up to date again
@@ -59,6 +61,7 @@
 		{"instance.metrics_listen", true, "", address(&s.MetricsListen)},
 		{"instance.peer_listen", true, "", advertisedAddress(&s.PeerListen)},
 		{"instance.seeds", false, "", advertisedAddresses(&s.Seeds)},
+		{"instance.first_start", false, "false", boolean(&s.FirstStart)},
 		{"platform.address", true, "", advertisedAddress(&s.PlatformAddress)},
 		{"platform.contact", false, "5s", duration(&s.Contact, 500*time.Millisecond, 10*time.Minute)},
 		{"platform.heartbeat", false, "1s", duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Minute)},
--- a/internal/status/edge.go
+++ b/internal/status/edge.go
@@ -14,5 +14,6 @@
 	Evacuated     []string         `json:"evacuated"`
 	InstanceNames []string         `json:"daemons"` // names of the registered instances
 	InFlight      int64            `json:"in_flight"`
+	Gathering     int              `json:"gathering"` // parts of queries of other instances
 	Replicas      []replica.Report `json:"replicas"`
 }
