Apply the changes of one watch answer in their order to what is relayed

Cause: entries lapsed and were written again within one answer to a watch; the copy from which a reader answers the instances of its zone applied all creations first and all deletions after them, so that 39 replicas were missing in what it relayed, while the reader itself had them. Ruled out: the hold of lapsed entries (the reader removed 17, the right ones), a deaf watch (revisions went on).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -118,7 +118,7 @@
 func (f *Follower[T]) AdvanceTo(revision Revision) {
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
-	f.advance(nil, nil, revision)
+	f.advance(nil, revision)
 }
 
 // apply applies the changes after the revision since. It drops them if a relayed
@@ -130,16 +130,11 @@
 	if f.Revision() != since {
 		return
 	}
-	var changed []RawObject
-	var deleted []string
-	for _, c := range changes {
-		if c.Deleted {
-			deleted = append(deleted, c.Name)
-		} else {
-			changed = append(changed, RawObject{Name: c.Name, Revision: c.Revision, Value: c.Raw})
-		}
+	raw := make([]rawChange, len(changes))
+	for i, c := range changes {
+		raw[i] = rawChange{RawObject{Name: c.Name, Revision: c.Revision, Value: c.Raw}, c.Deleted}
 	}
-	f.mirror.advance(changed, deleted, revision)
+	f.mirror.advance(raw, revision)
 	if len(changes) > 0 {
 		f.sink.Apply(changes)
 	}
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -47,19 +47,27 @@
 	return true
 }
 
-// advance applies the changes between the mirror's revision and a later one.
-func (m *mirror) advance(changed []RawObject, deleted []string, revision Revision) {
+// rawChange is a change of an object; only the name counts if it was deleted.
+type rawChange struct {
+	RawObject
+	deleted bool
+}
+
+// advance applies the changes between the mirror's revision and a later one, in their
+// order: an object may be deleted and created again, or the reverse, in one answer.
+func (m *mirror) advance(changes []rawChange, revision Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision = later(m.revision, revision)
-	if len(changed)+len(deleted) > 0 {
+	if len(changes) > 0 {
 		m.changeUpperBound, m.latestChange = m.revision, m.revision
 	}
-	for _, o := range changed {
-		m.objects[o.Name] = o
-	}
-	for _, name := range deleted {
-		delete(m.objects, name)
+	for _, c := range changes {
+		if c.deleted {
+			delete(m.objects, c.Name)
+		} else {
+			m.objects[c.Name] = c.RawObject
+		}
 	}
 }
 
