Choose the same replicas in all leaves; send straight where all can

Two leaves, asked one after the other, chose two replicas each, and one of them knew already that a replica leaves, or had ejected one. Tried: the same two by ID unless ejected (broken), by ID in any case (broken: leaving replicas are not in the list).

A leaf no longer begins for a caller that has left.

--- a/internal/forward/leaf.go
+++ b/internal/forward/leaf.go
@@ -54,6 +54,9 @@
 		f.metrics.gathersRefused.Inc(1)
 		return GatherReply{}, fmt.Errorf("%w: %w", ErrNotGathered, err)
 	}
+	if ctx.Err() != nil {
+		return GatherReply{}, fmt.Errorf("%w: %w", ErrNotGathered, ctx.Err())
+	}
 	p, err := f.partFor(req, arrived)
 	if err != nil {
 		f.metrics.gathersRefused.Inc(1)
@@ -216,23 +219,27 @@
 
 // restrictToAttempts leaves as many of the candidates of a part as a request may be sent
 // to. Several leaves may be asked for a shard, without a word from the first one, so that
-// all choose the same replicas: those in the home zone, and then by their IDs. Others are
-// kept if all of these are ejected.
-func (r *activeRequest) restrictToAttempts(list []candidate) []candidate {
-	if !r.isPart || len(list) <= r.route.MaxAttempts {
+// all choose the same replicas, also while some leave and others join: of all that are
+// listed, the oldest one in the home zone, and then the oldest. Whether they can be used
+// does not matter, as each leaf sees that differently.
+func (r *activeRequest) restrictToAttempts(service string, list []candidate) []candidate {
+	if !r.isPart || len(list) == 0 {
 		return list
 	}
-	byID := slices.Clone(list)
-	slices.SortFunc(byID, func(a, b candidate) int {
-		return cmp.Or(compareBool(a.replica.Zone != r.home, b.replica.Zone != r.home), cmp.Compare(a.replica.ID, b.replica.ID))
+	listed := slices.Clone(r.f.currentView().snap.Replicas(service))
+	slices.SortFunc(listed, func(a, b catalog.Replica) int {
+		return cmp.Or(cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.ID, b.ID))
 	})
-	chosen := byID[:max(r.route.MaxAttempts, 1)]
-	if !slices.ContainsFunc(chosen, func(c candidate) bool { return !c.ejected }) {
-		return list
+	if home := slices.IndexFunc(listed, func(l catalog.Replica) bool { return l.Zone == r.home }); home > 0 {
+		listed = slices.Insert(listed, 0, listed[home])
 	}
-	return slices.DeleteFunc(list, func(c candidate) bool {
-		return !slices.ContainsFunc(chosen, func(other candidate) bool { return other.replica.ID == c.replica.ID })
-	})
+	allowed := map[string]bool{}
+	for _, l := range listed {
+		if len(allowed) < max(r.route.MaxAttempts, 1) {
+			allowed[l.ID] = true
+		}
+	}
+	return slices.DeleteFunc(list, func(c candidate) bool { return !allowed[c.replica.ID] })
 }
 
 // isEvacuated reports whether the asking instance knows that a zone is evacuated.
--- a/internal/forward/scatterplan.go
+++ b/internal/forward/scatterplan.go
@@ -36,15 +36,14 @@
 	return p
 }
 
-// newPlan groups the shards that this instance does not send to, or that have no replica
-// in its region: one call takes fewer bytes between regions than an exchange for each
-// shard.
+// newPlan groups the shards that only members send to, unless this instance is one and has
+// a replica in its region.
 func (v *view) newPlan(route *catalog.Route) *scatterPlan {
 	p := &scatterPlan{groupOf: make([]int, len(route.Shards))}
 	var delegated []int
 	for i, name := range route.Shards {
 		p.groupOf[i] = -1
-		if s := v.services[name]; s != nil && len(s.listed) > 0 && !s.isNear(route) {
+		if s := v.services[name]; s != nil && s.senders.members != nil && len(s.listed) > 0 && !s.isNear(route) {
 			delegated = append(delegated, i)
 		}
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -41,7 +41,7 @@
 	if len(r.evacuated) > 0 {
 		list = slices.DeleteFunc(list, func(c candidate) bool { return r.isEvacuated(c.replica.Zone) })
 	}
-	return r.restrictToAttempts(list)
+	return r.restrictToAttempts(service, list)
 }
 
 // sendToFirstAvailable sends to the first candidate that has a free connection and
