--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -15,6 +15,9 @@
 	// return of the store stays unnoticed.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = time.Second
+	// maxRelayedBackoff is maxBackoff for instances that have readers, which notice the
+	// return first and tell them.
+	maxRelayedBackoff = 3 * time.Second
 	// probeTimeout bounds a call that probes a lost link, so that the return of an
 	// unresponsive store is noticed soon. It is well above the answer time of a
 	// slow store, some hundred milliseconds.
@@ -40,6 +43,7 @@
 	lostAt           time.Time
 	returnedAt       time.Time
 	failures         int
+	relayed          bool          // this instance has readers
 	lostChanged      chan struct{} // closed when lost changes
 	revision         Revision      // latest that any answer of the store named
 	revisionAdvanced chan struct{} // closed when revision grows
@@ -162,6 +166,13 @@
 	l.pausedUntil = until
 }
 
+// setRelayed records whether other instances read from the store for this one.
+func (l *Link) setRelayed(relayed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.relayed = relayed
+}
+
 // unconfirmedAge is the age that is reported if the store has never answered.
 const unconfirmedAge = time.Hour
 
@@ -236,7 +247,11 @@
 func (l *Link) backoff() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := min(minBackoff<<min(max(l.failures-1, 0), 4), maxBackoff)
+	longest := maxBackoff
+	if l.relayed {
+		longest = maxRelayedBackoff
+	}
+	d := min(minBackoff<<min(max(l.failures-1, 0), 4), longest)
 	return d/2 + rand.N(d/2)
 }
 
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -157,7 +157,9 @@
 // then pauses calls to the store. If none does and the link is lost, it asks any
 // other instance.
 func (r *Relay) askInstances(ctx context.Context) {
-	for _, name := range r.readersToAsk(r.peers.Readers()) {
+	readers := r.peers.Readers()
+	r.link.setRelayed(len(readers) > 0)
+	for _, name := range r.readersToAsk(readers) {
 		confirmed, fresh := r.fetchFrom(ctx, name)
 		if fresh {
 			r.link.pause(confirmed, confirmed.Add(r.maxAge))
