Play leaves, leaving replicas and pauses in the soak

TestSoakWithLeaves gives replicas so few connections that instances ask each other for parts of queries, and lets replicas leave, start again and reject with Retry-After, beside the faults of TestSoak.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,8 @@
 
 # soak runs instances under random faults, one seed after the other from SEED on, for
 # MINUTES. CI runs the first seed, and the seeds that failed once, as part of make test.
+# SOAK=TestSoakWithLeaves plays instances that ask each other for parts of queries.
+SOAK ?= TestSoak
 SEED ?= 1
 MINUTES ?= 10
 soak:
--- a/standin/soak/deployment_test.go
+++ b/standin/soak/deployment_test.go
@@ -57,14 +57,16 @@
 	replicas   []*platformtest.Replica
 	addresses  []string // of the replicas, through the links
 	shards     []string
-	instances  []*instance
+	// connections is how many connections the replicas of shards accept.
+	connections int
+	instances   []*instance
 }
 
 // retrySettings gives the instances a retry budget, so that they send repeats.
 const retrySettings = "[retry]\nratio = 0.2\nslack = 50\n"
 
-func startDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), store: platformtest.NewStore(t)}
+func startDeployment(t *testing.T, connections int) *deployment {
+	d := &deployment{t: t, connections: connections, dir: t.TempDir(), store: platformtest.NewStore(t)}
 	d.supervisor = harness.NewSupervisor(d.dir)
 	t.Cleanup(func() { d.supervisor.Close() })
 	build := exec.Command("go", "build", "-o", d.dir+"/", "github.com/baobabsill/baobabsill/cmd/baobabsill")
@@ -96,7 +98,7 @@
 	addresses := d.link.Addresses()
 	d.addresses = addresses[1:]
 	d.putReplicas()
-	d.store.Put(platformtest.KindConfig, "main", platformtest.Config(1, d.shards...))
+	d.store.Put(platformtest.KindConfig, "main", d.config(1))
 	for z, zone := range zones {
 		for n := range instancesPerZone {
 			i := &instance{Instance: platformtest.NewInstance(t, fmt.Sprintf("%s-%d", zone, n), zone, fmt.Sprintf("127.0.%d.1", z+1))}
@@ -111,6 +113,11 @@
 	return d
 }
 
+// config returns a version of the configuration.
+func (d *deployment) config(version int) map[string]any {
+	return platformtest.LimitConnections(platformtest.Config(version, d.shards...), d.connections, d.shards...)
+}
+
 // putReplicas writes the entries of all replicas.
 func (d *deployment) putReplicas() {
 	for i, r := range d.replicas {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -25,6 +25,10 @@
 )
 
 const (
+	// manyConnections let all four instances have two connections to each replica, with
+	// fewConnections only two of them send.
+	manyConnections = 20
+	fewConnections  = 6
 	// faultDuration is the time of a seed during which new faults are injected.
 	faultDuration = 6 * time.Second
 	// faultSeries is the number of series of faults that run at the same time.
@@ -40,7 +44,19 @@
 func TestSoak(t *testing.T) {
 	end := time.Now().Add(time.Duration(*minutes * float64(time.Minute)))
 	for s := *seed; ; s++ {
-		t.Run(fmt.Sprint(s), func(t *testing.T) { runSeed(t, s) })
+		t.Run(fmt.Sprint(s), func(t *testing.T) { runSeed(t, s, manyConnections) })
+		if time.Now().After(end) {
+			return
+		}
+	}
+}
+
+// TestSoakWithLeaves is TestSoak for replicas with so few connections that instances ask
+// each other for parts of queries. Replicas also leave, and ask for pauses.
+func TestSoakWithLeaves(t *testing.T) {
+	end := time.Now().Add(time.Duration(*minutes * float64(time.Minute)))
+	for s := *seed; ; s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { runSeed(t, s, fewConnections) })
 		if time.Now().After(end) {
 			return
 		}
@@ -65,15 +81,15 @@
 		}
 		t.Run(number, func(t *testing.T) {
 			t.Log(cause)
-			runSeed(t, n)
+			runSeed(t, n, manyConnections)
 		})
 	}
 }
 
 // runSeed runs a deployment with callers under the faults of a seed, and checks
 // the answers, the runs at the replicas and the recovery.
-func runSeed(t *testing.T, seed uint64) {
-	d := startDeployment(t)
+func runSeed(t *testing.T, seed uint64, connections int) {
+	d := startDeployment(t, connections)
 	l := &ledger{t: t, outcomes: map[string]int{}, sentTo: map[string]*harness.Process{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var callersDone, faultsDone sync.WaitGroup
@@ -86,7 +102,10 @@
 	}
 	f.instanceLocks = make([]sync.Mutex, len(d.instances))
 	f.replicaLocks = make([]sync.Mutex, len(d.replicas))
-	limited := d.limitOne(rand.New(rand.NewPCG(seed, 3000)))
+	var limited *limitedReplica
+	if connections == manyConnections {
+		limited = d.limitOne(rand.New(rand.NewPCG(seed, 3000)))
+	}
 	o := &operator{deployment: d, storeLock: &f.storeLock, version: 1}
 	callersDone.Go(func() { d.watchVersions(ctx) })
 	end := time.Now().Add(faultDuration)
@@ -94,13 +113,21 @@
 	for n := range faultSeries {
 		faultsDone.Go(func() { f.injectSeries(rand.New(rand.NewPCG(seed, 1000+uint64(n))), end) })
 	}
+	if connections == fewConnections {
+		faultsDone.Go(func() { d.changeStates(rand.New(rand.NewPCG(seed, 4000)), end) })
+	}
 	faultsDone.Wait()
 	l.waitUntilServed(d)
 	o.waitUntilCurrent()
 	cancel()
 	callersDone.Wait()
 	l.checkRuns(d)
-	limited.check(t, l.sentTo)
+	if limited != nil {
+		limited.check(t, l.sentTo)
+	}
+	if connections == fewConnections && !d.hasCalledLeaves() {
+		t.Error("no instance has asked another one for a part of a query")
+	}
 	for _, i := range d.instances {
 		if p := i.currentProcess(); p.HasEnded() {
 			t.Errorf("%s ended by itself: %v\n%s", i.Name, p.Err(), d.supervisor.Tail(i.Name))
--- a/standin/soak/store_test.go
+++ b/standin/soak/store_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,7 +30,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.version++
-	o.store.Put(platformtest.KindConfig, "main", platformtest.Config(o.version, o.shards...))
+	o.store.Put(platformtest.KindConfig, "main", o.config(o.version))
 }
 
 // run changes the configuration and restores the store in turn until end. After each
@@ -49,7 +51,7 @@
 		o.store.SetUnavailable(false)
 		o.storeLock.Unlock()
 		pause(500 * time.Millisecond)
-		o.store.Put(platformtest.KindConfig, "main", platformtest.Config(o.version, o.shards...))
+		o.store.Put(platformtest.KindConfig, "main", o.config(o.version))
 		o.putReplicas()
 		pause(500 * time.Millisecond)
 		o.putConfig()
@@ -72,6 +74,26 @@
 	return s, json.NewDecoder(resp.Body).Decode(&s)
 }
 
+// hasCalledLeaves reports whether an instance has asked another one for a part of a query
+// since it started.
+func (d *deployment) hasCalledLeaves() bool {
+	for _, i := range d.instances {
+		resp, err := statusClient.Get("http://" + i.MetricsAddress + "/metrics")
+		if err != nil {
+			continue // it was stopped
+		}
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close() //nolint:errcheck // it was read
+		if err != nil {
+			d.t.Errorf("%s: metrics: %v", i.Name, err)
+		}
+		if _, after, found := strings.Cut(string(text), "\nbaobabsill_leaf_calls "); found && after[0] != '0' {
+			return true
+		}
+	}
+	return false
+}
+
 // watchVersions reports an error when the version in force of a process goes back,
 // until ctx ends.
 func (d *deployment) watchVersions(ctx context.Context) {
@@ -120,6 +142,25 @@
 	return ""
 }
 
+// changeStates lets one replica after the other leave, or reject requests and ask for a
+// pause, until end. One that has left starts again.
+func (d *deployment) changeStates(rng *rand.Rand, end time.Time) {
+	for time.Now().Before(end) {
+		r := d.replicas[rng.IntN(len(d.replicas))]
+		length := 200*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))
+		if rng.IntN(2) == 0 {
+			r.Reject(fmt.Sprintf("%.2f", rng.Float64()))
+			time.Sleep(length)
+			r.Reject("")
+			continue
+		}
+		r.SetLeaving(true)
+		time.Sleep(length)
+		r.Restart()
+		d.putReplicas()
+	}
+}
+
 // limitedReplica is a replica that names a rate limit for all of a run.
 type limitedReplica struct {
 	*platformtest.Replica
