--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 SEED ?= 1
 MINUTES ?= 10
 soak:
-	$(GO) test -count=1 -timeout 0 ./standin/soak -run 'TestSoak$$' -v -args -seed $(SEED) -minutes $(MINUTES)
+	$(GO) test -count=1 -timeout 0 ./standin/soak -run '$(SOAK)$$' -v -args -seed $(SEED) -minutes $(MINUTES)
 
 bench: build
 	$(GO) build -o bin/ ./standin/cmd/...
