Never say of a part that it was not gathered after it began

The request now waits from the start. A rest is given only for the attempt that began the call, and the numbers of calls begin at random, so that an instance that has restarted does not meet its own earlier calls.

--- a/internal/edge/gather_test.go
+++ b/internal/edge/gather_test.go
@@ -66,6 +66,7 @@
 		"no objective":          func(m *peerpb.GatherRequest) { m.Objective = 0 },
 		"negative attempts":     func(m *peerpb.GatherRequest) { m.MaxAttempts = -1 },
 		"rest of another call":  func(m *peerpb.GatherRequest) { m.Resume, m.Call = true, 99 },
+		"another attempt":       func(m *peerpb.GatherRequest) { m.Resume, m.Call, m.AttemptId = true, 1, []byte("a2") },
 		"rest of another peer":  func(m *peerpb.GatherRequest) { m.Resume, m.From = true, "d8" },
 		"objective in the past": func(m *peerpb.GatherRequest) { m.Objective = math.MinInt64 },
 	} {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,9 @@
 	f := &Forwarder{
 		logger: logger, store: store, pool: pool, leaves: leaves, leafBook: newLeafBook(), parts: map[partKey]*part{}, budget: NewRetryBudget(), metrics: newMetrics(scope),
 	}
+	// An instance that has restarted must not use the numbers of calls that leaves still
+	// know from before.
+	f.lastCall.Store(rand.Uint64())
 	f.Configure(o)
 	return f
 }
--- a/internal/forward/leaf.go
+++ b/internal/forward/leaf.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -57,17 +58,11 @@
 	if ctx.Err() != nil {
 		return GatherReply{}, fmt.Errorf("%w: %w", ErrNotGathered, ctx.Err())
 	}
-	p, err := f.partFor(req, arrived)
-	if err != nil {
+	w := &partWait{ctx: ctx, replyAt: arrived.Add(req.ReplyWithin), reply: make(chan GatherReply, 1)}
+	if err := f.waitForPart(req, w, arrived); err != nil {
 		f.metrics.gathersRefused.Inc(1)
 		return GatherReply{}, fmt.Errorf("%w: %w", ErrNotGathered, err)
 	}
-	w := &partWait{ctx: ctx, replyAt: arrived.Add(req.ReplyWithin), reply: make(chan GatherReply, 1)}
-	select {
-	case p.waits <- w:
-	case <-p.done:
-		return GatherReply{}, fmt.Errorf("%w: the call has ended", ErrNotGathered)
-	}
 	select {
 	case reply := <-w.reply:
 		reply.Leaving, reply.Took = f.leaving.Load(), time.Since(arrived)
@@ -78,36 +73,58 @@
 	}
 }
 
-// partFor returns the part of a query that a request asks for. It begins a new one unless
-// the request resumes one.
-func (f *Forwarder) partFor(req *GatherRequest, arrived time.Time) (*part, error) {
+// waitForPart makes w wait for the part of a query that a request asks for. It begins a
+// new one unless the request resumes one.
+func (f *Forwarder) waitForPart(req *GatherRequest, w *partWait, arrived time.Time) error {
 	key := partKey{req.From, req.Call}
 	f.partsMu.Lock()
-	defer f.partsMu.Unlock()
 	p := f.parts[key]
+	switch err := f.refusePart(req, p); {
+	case err != nil:
+		f.partsMu.Unlock()
+		return err
+	case p == nil:
+		p = f.newPart(req, arrived)
+		p.waiting = w
+		f.parts[key] = p
+		f.partsMu.Unlock()
+		go f.runPart(key, p, req)
+		return nil
+	}
+	f.partsMu.Unlock()
+	select {
+	case p.waits <- w:
+		return nil
+	case <-p.done:
+		return errors.New("the call has ended")
+	}
+}
+
+// refusePart returns an error that says why a request is refused. p is the part of its
+// call, if there is one. f.partsMu is held.
+func (f *Forwarder) refusePart(req *GatherRequest, p *part) error {
 	snap := f.store.Load()
 	switch {
-	case req.Resume && p != nil:
-		return p, nil
+	case req.Resume && (p == nil || p.req.AttemptID != req.Query.AttemptID):
+		return fmt.Errorf("no call %d of %s for this attempt", req.Call, req.From)
 	case req.Resume:
-		return nil, fmt.Errorf("no call %d of %s", req.Call, req.From)
+		return nil
 	case p != nil:
-		return nil, fmt.Errorf("call %d of %s is known", req.Call, req.From)
+		return fmt.Errorf("call %d of %s is known", req.Call, req.From)
 	case snap.Config == nil || !snap.ReplicasKnown:
-		return nil, fmt.Errorf("no configuration")
+		return errors.New("no configuration")
 	case int64(len(f.parts)) >= f.inFlightLimit(req.Route.Priority):
-		return nil, fmt.Errorf("overload")
+		return errors.New("overload")
 	}
-	p = f.newPart(req, arrived)
-	f.parts[key] = p
-	go func() {
-		p.run()
-		f.partsMu.Lock()
-		defer f.partsMu.Unlock()
-		delete(f.parts, key)
-		p.logPart(req)
-	}()
-	return p, nil
+	return nil
+}
+
+func (f *Forwarder) runPart(key partKey, p *part, req *GatherRequest) {
+	p.run()
+	f.partsMu.Lock()
+	delete(f.parts, key)
+	f.partsMu.Unlock()
+	p.logPart(req)
 }
 
 func (f *Forwarder) newPart(req *GatherRequest, arrived time.Time) *part {
