Count replicas that have just left when leaves choose

Trace, by the logs of all instances: replica i-36e54c6aa5 of seno78c was removed at 23.62 s, 23.81 s and 24.12 s at three leaves; the one that did not know yet chose it and the one of the home zone, the other the two that were left. Replicas that are no longer listed count for five seconds more when replicas are chosen, though they get nothing. TestLeavesChooseTheSameReplicas has the case and fails without it.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -17,6 +17,7 @@
 	ReplicasKnown bool
 	replicas      map[string]Replica
 	byService     map[string][]Replica
+	departed      []departedReplica
 	evacuated     map[string]bool
 	// InstanceNames are the sorted names of the instances that share the replicas; nil
 	// until their list has been read.
@@ -38,6 +39,28 @@
 	return r, ok
 }
 
+// departedReplica is a replica that is no longer listed, since a time.
+type departedReplica struct {
+	Replica
+	since time.Time
+}
+
+// rememberDeparted is how long replicas are remembered that are no longer listed. It is
+// longer than instances differ in what they know of the list.
+const rememberDeparted = 5 * time.Second
+
+// RecentReplicas returns the replicas of a service that are listed or were until shortly
+// before now.
+func (s *Snapshot) RecentReplicas(service string, now time.Time) []Replica {
+	list := slices.Clone(s.byService[service])
+	for _, d := range s.departed {
+		if _, listed := s.replicas[d.ID]; !listed && d.Service == service && now.Sub(d.since) < rememberDeparted {
+			list = append(list, d.Replica)
+		}
+	}
+	return list
+}
+
 // ReplicaCount returns the number of listed replicas.
 func (s *Snapshot) ReplicaCount() int { return len(s.replicas) }
 
@@ -94,11 +117,28 @@
 	s.update(func(next *Snapshot) {
 		replicas := maps.Clone(next.replicas)
 		change(replicas)
+		next.rememberDeparted(replicas, time.Now())
 		next.setReplicas(replicas)
 		next.ReplicasKnown = true
 	})
 }
 
+// rememberDeparted records which of the listed replicas are not in the next list.
+func (s *Snapshot) rememberDeparted(next map[string]Replica, now time.Time) {
+	var departed []departedReplica
+	for _, d := range s.departed {
+		if now.Sub(d.since) < rememberDeparted {
+			departed = append(departed, d)
+		}
+	}
+	for id, r := range s.replicas {
+		if _, listed := next[id]; !listed {
+			departed = append(departed, departedReplica{r, now})
+		}
+	}
+	s.departed = departed
+}
+
 // Merge merges a report into a set of replicas and reports whether the set changed.
 func Merge(replicas map[string]Replica, report Replica) bool {
 	old, known := replicas[report.ID]
--- a/internal/forward/leaf.go
+++ b/internal/forward/leaf.go
@@ -237,13 +237,13 @@
 // restrictToAttempts leaves as many of the candidates of a part as a request may be sent
 // to. Several leaves may be asked for a shard, without a word from the first one, so that
 // all choose the same replicas, also while some leave and others join: of all that are
-// listed, the oldest one in the home zone, and then the oldest. Whether they can be used
-// does not matter, as each leaf sees that differently.
+// listed or were until shortly before, the oldest one in the home zone, and then the
+// oldest. Whether they can be used does not matter, as each leaf sees that differently.
 func (r *activeRequest) restrictToAttempts(service string, list []candidate) []candidate {
 	if !r.isPart || len(list) == 0 {
 		return list
 	}
-	listed := slices.Clone(r.f.currentView().snap.Replicas(service))
+	listed := r.f.currentView().snap.RecentReplicas(service, time.Now())
 	slices.SortFunc(listed, func(a, b catalog.Replica) int {
 		return cmp.Or(cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.ID, b.ID))
 	})
--- a/internal/forward/scatter_test.go
+++ b/internal/forward/scatter_test.go
@@ -568,7 +568,7 @@
 			{ID: "s1/a1", Zone: "a1", StartedAt: 3}, {ID: "s1/b1", Zone: "b1", StartedAt: 1}, {ID: "s1/c1", Zone: "c1", StartedAt: 2},
 			{ID: "s1/a2", Zone: "a2", StartedAt: 9},
 		}
-		chosen := func(known []catalog.Replica, draining string) map[string]bool {
+		chosen := func(known []catalog.Replica, draining, departed string) map[string]bool {
 			store := catalog.NewStore(0)
 			store.UpdateReplicas(func(all map[string]catalog.Replica) {
 				for _, r := range known {
@@ -576,6 +576,7 @@
 					all[r.ID] = r
 				}
 			})
+			store.UpdateReplicas(func(all map[string]catalog.Replica) { delete(all, departed) })
 			store.SetConfig(f.stores["d1"].Load().Config)
 			f.replicas["s1/c1"] = f.replicas["s1/b1"]
 			f.replicas["s1/a2"] = f.replicas["s1/b1"]
@@ -592,7 +593,10 @@
 			return ids
 		}
 		union := map[string]bool{}
-		for _, ids := range []map[string]bool{chosen(replicas[:3], ""), chosen(replicas[:3], "s1/a1"), chosen(replicas, "s1/b1"), chosen(replicas, "")} {
+		for _, ids := range []map[string]bool{
+			chosen(replicas[:3], "", ""), chosen(replicas[:3], "s1/a1", ""), chosen(replicas, "s1/b1", ""), chosen(replicas, "", ""),
+			chosen(replicas[:3], "", "s1/b1"), chosen(replicas, "", "s1/a1"),
+		} {
 			if len(ids) == 0 {
 				t.Error("no replica is chosen")
 			}
