--- a/internal/forward/groups.go
+++ b/internal/forward/groups.go
@@ -1,13 +1,11 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"time"
 
 	"github.com/baobabsill/baobabsill/internal/policy"
-	"github.com/baobabsill/baobabsill/internal/replica"
 )
 
 const (
@@ -31,8 +29,8 @@
 	asked  []string // names of the leaves that were asked
 	calls  int
 	next   policy.Instance
-	// repeat is set once a leaf may have sent the query to replicas, silent if one did not
-	// reply in time.
+	// repeat is set once a leaf may have sent the query to replicas, silent once one did
+	// not reply in time.
 	repeat  bool
 	silent  bool
 	hedgeAt time.Time // zero if no hedge is scheduled
@@ -378,86 +376,3 @@
 	usual := expected + hedgeDeviations*deviation
 	return max(min(max(usual, left/2), latest), expected, minLeafReplyTime)
 }
-
-// leafClass is the class of the times of calls to leaves in a zone.
-func (r *activeRequest) leafClass(leaf policy.Instance) replica.LatencyClass {
-	return replica.LatencyClass{Route: "gather " + r.route.Name, Zone: leaf.Zone}
-}
-
-// leafOverheadClass is the class of the parts of these times that are not the leaf's.
-func leafOverheadClass(leaf policy.Instance) replica.LatencyClass {
-	return replica.LatencyClass{Route: "gather overhead", Zone: leaf.Zone}
-}
-
-// usualLeafTime returns the usual time of a call to a leaf and its mean deviation.
-func (r *activeRequest) usualLeafTime(leaf policy.Instance) (mean, deviation time.Duration) {
-	mean, deviation, measured := r.f.pool.Latencies.Usual(r.leafClass(leaf))
-	if !measured {
-		mean = r.assumedLeafTime(leaf)
-		deviation = mean / 2
-	}
-	return mean, deviation
-}
-
-// leafOverhead returns by how much earlier than needed a leaf has to answer.
-func (r *activeRequest) leafOverhead(leaf policy.Instance) time.Duration {
-	mean, deviation, measured := r.f.pool.Latencies.Usual(leafOverheadClass(leaf))
-	if !measured {
-		return r.assumedLeafTime(leaf)
-	}
-	return mean + 2*deviation
-}
-
-func (r *activeRequest) assumedLeafTime(leaf policy.Instance) time.Duration {
-	distance := r.f.options.Load().Location.distance(leaf.Zone)
-	return time.Duration(assumedLatencyShare[distance] * float64(r.route.Objective))
-}
-
-// recordLeafTimes records the times of an exchange with a leaf; the whole time only if it
-// brought all shards.
-func (r *activeRequest) recordLeafTimes(reply *leafReply) {
-	took := time.Since(reply.started)
-	r.f.pool.Latencies.Record(leafOverheadClass(reply.call.leaf), max(took-reply.Took, 0))
-	if len(reply.Answered) == len(reply.call.shards) {
-		r.f.pool.Latencies.Record(r.leafClass(reply.call.leaf), took)
-	}
-}
-
-// prepareInterval is how long after the last call to a leaf its connection is used again.
-// It is shorter than the time after which idle connections are closed.
-const prepareInterval = 20 * time.Second
-
-// preparedLeaves is the number of leaves of a group to which connections are kept.
-const preparedLeaves = 2
-
-// prepareTimeout bounds the call that opens a connection to a leaf.
-const prepareTimeout = 2 * time.Second
-
-// PrepareLeaves opens connections to the leaves that this instance will ask first, and
-// keeps them open, so that queries do not wait for connection set-up.
-func (f *Forwarder) PrepareLeaves(ctx context.Context) {
-	config := f.store.Load().Config
-	if config == nil || f.leaves == nil {
-		return
-	}
-	view, now := f.currentView(), time.Now()
-	for _, route := range config.RouteByService() {
-		if !route.IsScatter() {
-			continue
-		}
-		for _, g := range view.plan(route).groups {
-			for n, leaf := range g.leaves {
-				if f.leafBook.startPreparing(leaf.Name, n < preparedLeaves, now, prepareInterval) {
-					go f.prepareLeaf(ctx, leaf.Name)
-				}
-			}
-		}
-	}
-}
-
-func (f *Forwarder) prepareLeaf(ctx context.Context, name string) {
-	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
-	defer cancel()
-	reply, err := f.leaves.Gather(ctx, name, &GatherRequest{Query: &Request{}, From: f.options.Load().Shares.Self, Route: scatterRoute(noRoute, nil)})
-	f.leafBook.finishPreparing(name, reply.Leaving, err, time.Now())
-}
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -168,9 +168,9 @@
 // replica.
 func (r ranking) countBefore(replicaID string) (n int) {
 	replicaHash := xxhash.Sum64String(replicaID)
-	own := mix(r.ownHash ^ replicaHash)
+	own := policy.Mix(r.ownHash ^ replicaHash)
 	for _, h := range r.hashes {
-		if mix(h^replicaHash) < own {
+		if policy.Mix(h^replicaHash) < own {
 			n++
 		}
 	}
@@ -183,15 +183,7 @@
 	replicaHash := xxhash.Sum64String(replicaID)
 	byHash := make(map[string]uint64, len(names))
 	for i, name := range names {
-		byHash[name] = mix(r.hashes[i] ^ replicaHash)
+		byHash[name] = policy.Mix(r.hashes[i] ^ replicaHash)
 	}
 	return slices.SortedFunc(maps.Keys(byHash), func(a, b string) int { return cmp.Compare(byHash[a], byHash[b]) })
 }
-
-// mix is the finalizer of SplitMix64: a change of one bit of x changes on average
-// half of the bits of the result.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/policy/fleet.go
+++ b/internal/policy/fleet.go
@@ -84,7 +84,7 @@
 // by weighted rendezvous hashing, of those near the zone. An instance that joins or
 // leaves changes the members of a bucket by one at most.
 func (f *Fleet) Members(bucket int, zone, region string, n int) []Instance {
-	key := mix(xxhash.Sum64String(zone) ^ uint64(bucket))
+	key := Mix(xxhash.Sum64String(zone) ^ uint64(bucket))
 	ordered := f.order(f.near(zone, region), key)
 	members := make([]Instance, 0, n)
 	for _, i := range ordered[:min(n, len(ordered))] {
@@ -99,7 +99,7 @@
 // several is asked for all of them at once, and stable, so that connections are used often.
 func Prefer(self string, members []Instance) {
 	f := NewFleet(members)
-	ordered := f.order(f.all, mix(xxhash.Sum64String(self)))
+	ordered := f.order(f.all, Mix(xxhash.Sum64String(self)))
 	sorted := make([]Instance, len(members))
 	for n, i := range ordered {
 		sorted[n] = members[i]
@@ -116,7 +116,7 @@
 	scores := make([]scored, len(list))
 	for n, i := range list {
 		// u is uniform in (0, 1]; the score is exponential with the weight as its rate.
-		u := (float64(mix(f.hashes[i]^key)>>11) + 1) / (1 << 53)
+		u := (float64(Mix(f.hashes[i]^key)>>11) + 1) / (1 << 53)
 		scores[n] = scored{i, -math.Log(u) / f.weights[i]}
 	}
 	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
@@ -127,9 +127,9 @@
 	return ordered
 }
 
-// mix is the finalizer of SplitMix64: a change of one bit of x changes on average
+// Mix is the finalizer of SplitMix64: a change of one bit of x changes on average
 // half of the bits of the result.
-func mix(x uint64) uint64 {
+func Mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/internal/policy/groups.go
+++ b/internal/policy/groups.go
@@ -50,7 +50,7 @@
 func Bucket(shard string, buckets int) int {
 	hash, best, bucket := xxhash.Sum64String(shard), uint64(0), 0
 	for b := range buckets {
-		if score := mix(hash ^ mix(uint64(b)+1)); score >= best {
+		if score := Mix(hash ^ Mix(uint64(b)+1)); score >= best {
 			best, bucket = score, b
 		}
 	}
@@ -117,7 +117,7 @@
 		}
 		best, bestScore := "", 0.0
 		for zone, n := range counts {
-			preference := 0.5 + float64(mix(xxhash.Sum64String(self)^xxhash.Sum64String(zone))>>11)/(1<<53)
+			preference := 0.5 + float64(Mix(xxhash.Sum64String(self)^xxhash.Sum64String(zone))>>11)/(1<<53)
 			if asked[zone] {
 				preference += 1
 			}
