--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -98,6 +98,7 @@
 		if !r.behave(a) {
 			return
 		}
+		_, _ = io.Copy(io.Discard, req.Body) // what behave has not read
 	}
 }
 
