--- a/review/standin/case_body.go
+++ b/review/standin/case_body.go
@@ -34,7 +34,7 @@
 		pauseLength = 150 * time.Millisecond
 		pauseEvery  = 3600 * time.Millisecond
 		work        = 5 * time.Millisecond
-		playFor     = 20 * time.Second
+		playFor     = 35 * time.Second
 		// A replica reads a body at 10 MB/s, as over a link of some milliseconds with a
 		// small window.
 		readBytes    = 4 << 10
@@ -130,7 +130,7 @@
 				}
 				a := c.receive(2 * time.Second)
 				d.rec.add("answer to %s after %d ms: %d missing=%s body=%dB err=%v", attempt, time.Since(began).Milliseconds(), a.status, a.header.Get("X-Missing-Parts"), len(a.body), a.err)
-				if a.err != nil || a.header.Get("Connection") == "close" {
+				if a.err != nil || a.close {
 					c = nil
 				}
 			}
--- a/review/standin/case_path.go
+++ b/review/standin/case_path.go
@@ -92,7 +92,7 @@
 				d.rec.add("answer to %s (%s): %s", attempt, target, a)
 				count, _ := statuses.LoadOrStore(a.status, new(atomic.Int64))
 				count.(*atomic.Int64).Add(1)
-				if a.err != nil || a.header.Get("Connection") == "close" {
+				if a.err != nil || a.close {
 					c = nil
 				}
 				time.Sleep(requestInterval)
--- a/review/standin/case_replay.go
+++ b/review/standin/case_replay.go
@@ -75,7 +75,7 @@
 				mu.Lock()
 				statuses[attempt] = a.String()
 				mu.Unlock()
-				if a.err != nil || a.header.Get("Connection") == "close" {
+				if a.err != nil || a.close {
 					c = nil
 				}
 				time.Sleep(orderInterval)
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,6 +17,7 @@
 	header http.Header
 	body   []byte
 	err    error // set if no whole answer came
+	close  bool  // the connection must not be used again
 }
 
 func (a answer) String() string {
@@ -61,7 +62,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	a.status, a.header = resp.StatusCode, resp.Header
+	a.status, a.header, a.close = resp.StatusCode, resp.Header, resp.Close
 	a.body, a.err = io.ReadAll(resp.Body)
 	return a
 }
