Reject answers whose status code HTTP does not define

Callers saw: a replica in trouble answered with status 000, and the caller got it as an answer. Hertz writes status 0 as 200 OK, so the failure arrived as a success with the replica's signature and body. 099 and +20 arrived as a status line that clients cannot read, 600 and 999 unchanged, and 101 as a switch of protocols that nobody had asked for.

Cause: net/http takes any three characters that strconv.Atoi reads as a number of at least 0 for a status code, and returns 101 as a final answer. The client of replicas passed on what it got. An answer with status 000 that also said that the request was not run was believed, so an order that might have run was sent again.

Change: exchange.RoundTrip, through which all exchanges with replicas and targets now go, closes the connection and returns ErrMalformedHead unless the status of the final answer is between 200 and 599 (RFC 9110, section 15). Such an exchange counts as lost: the request may have run. exchange.Transport does the same for both clients of the store.

Why it works: the check stands where the answer is read, before any field of it is used, so no caller of the clients can see the answer.

Ruled out: a check where answers are written to callers. A broken part would still be merged, and "not run" still be believed.

Already handled before, the tests are kept: the clients of the store took status 000 for a failed call, the client of targets for a malformed answer, and the replies of other instances (HTTP/2, Twirp) for a failed call.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,5 +1,6 @@
-// Package exchange tells, for HTTP exchanges that failed, whether any byte of the
-// request may have left the process. If none has, the request cannot have run.
+// Package exchange runs HTTP exchanges. It rejects answers that HTTP does not allow, and
+// tells, for exchanges that failed, whether any byte of the request may have left the
+// process. If none has, the request cannot have run.
 package exchange
 
 import (
@@ -52,8 +53,23 @@
 	Reused bool
 }
 
-// WithTracking returns the context with which the request has to be sent to be tracked.
-func (e *Exchange) WithTracking(ctx context.Context) context.Context {
+// RoundTrip sends the request through t and tracks it. If the head of the answer is
+// malformed, it closes the connection and returns an error that wraps ErrMalformedHead;
+// the request may have run then.
+func (e *Exchange) RoundTrip(t *http.Transport, req *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTrip(req.WithContext(e.withTracking(req.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		e.Abort()
+		resp.Body.Close() //nolint:errcheck // the connection is closed already
+		return nil, err
+	}
+	return resp, nil
+}
+
+func (e *Exchange) withTracking(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		e.conn = info.Conn.(*Conn)
 		e.writtenBefore, e.Reused = e.conn.written.Load(), info.Reused
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/baobabsill/baobabsill/internal/exchange"
 )
 
 // maxReplyBytes limits the size of a reply; a list may hold many values of up to
@@ -73,12 +75,12 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: c.source}
 	}
 	c.http = &http.Client{
-		Transport: &http.Transport{
+		Transport: exchange.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +12,17 @@
 	"github.com/zeebo/errs"
 )
 
+// answerRaw writes bytes to the connection of a request and closes it.
+func answerRaw(t *testing.T, w http.ResponseWriter, answer string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, answer)
+}
+
 // Guards against reporting a change that may have taken effect as one that did
 // not, and the reverse: the class of the error must follow from how far the call
 // got and what the platform answered.
@@ -30,6 +42,9 @@
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte(`{"version":`))
 		}, &ErrOutcomeUnknown},
+		"status 000": {func(w http.ResponseWriter, _ *http.Request) {
+			answerRaw(t, w, "HTTP/1.1 000 x\r\nContent-Length: 13\r\n\r\n"+`{"version":1}`)
+		}, &ErrOutcomeUnknown},
 		"missing": {http.NotFound, &ErrNotFound},
 		"conflict": {func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get("If-Match") != "4" {
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -89,7 +89,7 @@
 // connection failed before any byte was written.
 func (c *client) sendOnce(ctx context.Context, request Request, deadline time.Time) (r reply, unsent bool) {
 	var ex exchange.Exchange
-	req, err := http.NewRequestWithContext(ex.WithTracking(ctx), http.MethodPost,
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+c.address+"/"+request.Operation, io.NopCloser(bytes.NewReader(request.Body)))
 	if err != nil {
 		return reply{result: outcome.Refused(outcome.ReasonUnreachable)}, false
@@ -112,8 +112,11 @@
 		"X-Snapshot":         {request.Snapshot},
 		"X-Shard":            {request.Shard},
 	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
+	resp, err := ex.RoundTrip(c.transport, req)
+	switch {
+	case errors.Is(err, exchange.ErrMalformedHead):
+		return brokenReply(outcome.ReasonMalformed), false
+	case err != nil:
 		return c.classifyFailure(ctx, &ex)
 	}
 	defer resp.Body.Close()
