Reject answers whose field names contain a blank

Callers saw: a replica in trouble sent a head with a blank in the name of a field, and the caller got it as an answer. Where the name was that of a framing field ("Content-Length : 8", "Transfer-Encoding : chunked"), the answer had a body that was not the replica's: all bytes up to the close, chunk sizes included, or fewer bytes than announced, as a complete success. A rejection with such a line was believed: an order for which it said "not run" was sent a second time and ran twice (in the test).

Cause: net/http keeps a name with a blank as it stands and does not interpret the field, so neither the framing nor the fields that the line spoils are seen.

Change: exchange.RoundTrip returns ErrMalformedHead for an answer with such a name. RFC 9112, section 5.1, allows no white space there. The exchange is lost; what the answer says of limits, pauses or leaving is not taken over.

Why it works: as for the status, the check comes before any use of the answer, and covers replicas, targets and both stores.

Already handled before, the tests are kept: net/http itself rejects names with control bytes (tab, NUL, DEL, escape, CR), and the HTTP/2 client of the other instances rejects both.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -19,6 +19,18 @@
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n%s",
 	"status 600": "HTTP/1.1 600 x\r\n%s",
 	"status 999": "HTTP/1.1 999 x\r\n%s",
+
+	"blank in a name":       "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\n",
+	"blank after a name":    "HTTP/1.1 200 OK\r\n%sX-Odd : 1\r\n",
+	"tab in a name":         "HTTP/1.1 200 OK\r\n%sX\tOdd: 1\r\n",
+	"NUL in a name":         "HTTP/1.1 200 OK\r\n%sX\x00Odd: 1\r\n",
+	"DEL in a name":         "HTTP/1.1 200 OK\r\n%sX-Odd\x7f: 1\r\n",
+	"escape before a name":  "HTTP/1.1 200 OK\r\n%s\x1bX-Odd: 1\r\n",
+	"CR in a name":          "HTTP/1.1 200 OK\r\n%sX\rOdd: 1\r\n",
+	"blank in the length":   "HTTP/1.1 200 OK\r\n%sContent-Length : 8\r\n",
+	"blank in the encoding": "HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\n",
+	"not run, with a blank": "HTTP/1.1 503 x\r\n%sX-Not-Executed: 1\r\nX Odd: 1\r\n",
+	"another, with a blank": "HTTP/1.1 421 x\r\n%sX Odd: 1\r\n",
 }
 
 // Guards callers against an answer that HTTP does not allow: what it says, and where it
--- a/internal/exchange/transport.go
+++ b/internal/exchange/transport.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrMalformedHead is the error of an exchange whose answer has a head that HTTP/1 does
@@ -19,6 +20,12 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 599 {
 		return fmt.Errorf("%w: status %03d", ErrMalformedHead, resp.StatusCode)
 	}
+	// RFC 9112, section 5.1. net/http rejects names with control bytes itself.
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: field name %q", ErrMalformedHead, name)
+		}
+	}
 	return nil
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -45,6 +45,12 @@
 		"status 000": {func(w http.ResponseWriter, _ *http.Request) {
 			answerRaw(t, w, "HTTP/1.1 000 x\r\nContent-Length: 13\r\n\r\n"+`{"version":1}`)
 		}, &ErrOutcomeUnknown},
+		"blank in a name": {func(w http.ResponseWriter, _ *http.Request) {
+			answerRaw(t, w, "HTTP/1.1 503 x\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n")
+		}, &ErrOutcomeUnknown},
+		"control byte in a name": {func(w http.ResponseWriter, _ *http.Request) {
+			answerRaw(t, w, "HTTP/1.1 503 x\r\nX\x01Odd: 1\r\nContent-Length: 0\r\n\r\n")
+		}, &ErrOutcomeUnknown},
 		"missing": {http.NotFound, &ErrNotFound},
 		"conflict": {func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get("If-Match") != "4" {
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -51,8 +51,13 @@
 		"endless head": {outcome.ReasonTruncated, func(r *http.Request, _ string) string {
 			return rawReply(r, 200, "2", "X-A: "+strings.Repeat("a", 2*maxReplyHeaderBytes)+"\r\n", answerBody(r, "2"))
 		}},
-		"status 000": {outcome.ReasonMalformed, replaced(" 200 ", " 000 ")},
-		"status 600": {outcome.ReasonMalformed, replaced(" 200 ", " 600 ")},
+		"status 000":      {outcome.ReasonMalformed, replaced(" 200 ", " 000 ")},
+		"blank in a name": {outcome.ReasonMalformed, replaced("\r\n\r\n", "\r\nX Odd: 1\r\n\r\n")},
+		"blank and shed": {outcome.ReasonMalformed, func(r *http.Request, _ string) string {
+			return rawReply(r, 503, "2", "X-Outcome: shed\r\nX Odd: 1\r\n", "")
+		}},
+		"control byte": {outcome.ReasonTruncated, replaced("\r\n\r\n", "\r\nX\x01Odd: 1\r\n\r\n")},
+		"status 600":   {outcome.ReasonMalformed, replaced(" 200 ", " 600 ")},
 		"late": {outcome.ReasonTimeout, func(_ *http.Request, whole string) string {
 			time.Sleep(2 * time.Second)
 			return whole
