Reject answers whose head has a continuation line

Callers saw: where the blank stood before the name (" X-Odd: 1"), the line was passed on as part of the field before it: "X-A: b X-Odd: 1". After the signature, the caller got "odd-signature X-Odd: 1" as the signature of a success, also within the list of signatures of a merged answer, which makes the whole answer wrong. A Content-Length of this kind was lost, so that a body of 16 of 20 bytes arrived as whole.

Cause: net/http joins a line that begins with white space to the field before. Afterwards it cannot be told from the value of that field.

Change: the connections of exchanges scan the head of each answer as it is read, and exchange.RoundTrip returns ErrMalformedHead if a line of it begins with white space. RFC 9112, section 5.2, has a proxy discard such an answer or join the lines; joined, a field whose name begins with a blank cannot be told from a continued value.

Why it works: the scan sees the bytes before net/http does. It begins when the exchange gets its connection, passes over interim answers and stops at the end of the head, so bodies are never taken for lines of a head.

Ruled out: a check of the values. A joined value is a proper one.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -22,6 +22,13 @@
 
 	"blank in a name":       "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\n",
 	"blank after a name":    "HTTP/1.1 200 OK\r\n%sX-Odd : 1\r\n",
+	"blank before a name":   "HTTP/1.1 200 OK\r\n%sX-A: b\r\n X-Odd: 1\r\n",
+	"tab before a name":     "HTTP/1.1 200 OK\r\n%sX-A: b\r\n\tX-Odd: 1\r\n",
+	"blank, then length":    "HTTP/1.1 200 OK\r\n%sX-A: b\r\n Content-Length: 20\r\n",
+	"blank after signature": "HTTP/1.1 200 OK\r\n%s X-Odd: 1\r\n",
+	"blank in the first":    "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n%s",
+	"blank as a name":       "HTTP/1.1 200 OK\r\n%sX-A: b\r\n : 1\r\n",
+	"after early hints":     "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\n%sX-A: b\r\n X-Odd: 1\r\n",
 	"tab in a name":         "HTTP/1.1 200 OK\r\n%sX\tOdd: 1\r\n",
 	"NUL in a name":         "HTTP/1.1 200 OK\r\n%sX\x00Odd: 1\r\n",
 	"DEL in a name":         "HTTP/1.1 200 OK\r\n%sX-Odd\x7f: 1\r\n",
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -12,12 +12,20 @@
 	"sync/atomic"
 )
 
-// Conn is a connection that counts the bytes written to it. A transport and an
-// Exchange use it concurrently.
+// Conn is a connection that counts the bytes written to it and scans the heads of the
+// answers. A transport and an Exchange use it concurrently.
 type Conn struct {
 	net.Conn
 	written atomic.Int64
 	writing atomic.Bool
+	head    headScanner
+}
+
+// Read reads into b.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.head.scan(b[:n])
+	return n, err
 }
 
 // Write writes b. It sets writing before the first byte leaves, so that a write in
@@ -61,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	if err := checkHead(resp, e.conn.head.foundContinuation()); err != nil {
 		e.Abort()
 		resp.Body.Close() //nolint:errcheck // the connection is closed already
 		return nil, err
@@ -73,6 +81,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		e.conn = info.Conn.(*Conn)
 		e.writtenBefore, e.Reused = e.conn.written.Load(), info.Reused
+		e.conn.head.start()
 	}})
 }
 
--- a/internal/exchange/transport.go
+++ b/internal/exchange/transport.go
@@ -13,13 +13,18 @@
 var ErrMalformedHead = errors.New("malformed head of an answer")
 
 // checkHead returns an error that wraps ErrMalformedHead if the head of a final answer,
-// as net/http has read it, is malformed.
-func checkHead(resp *http.Response) error {
+// as net/http has read it, is malformed. continued is set if it has a continuation line.
+func checkHead(resp *http.Response, continued bool) error {
 	// RFC 9110, section 15. No request of this system offers to switch protocols (101),
 	// and net/http passes over the other interim answers.
 	if resp.StatusCode < 200 || resp.StatusCode > 599 {
 		return fmt.Errorf("%w: status %03d", ErrMalformedHead, resp.StatusCode)
 	}
+	// RFC 9112, section 5.2, allows a proxy to discard such an answer. The line may be a
+	// field of its own whose name begins with white space.
+	if continued {
+		return fmt.Errorf("%w: continuation line", ErrMalformedHead)
+	}
 	// RFC 9112, section 5.1. net/http rejects names with control bytes itself.
 	for name := range resp.Header {
 		if strings.Contains(name, " ") {
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -51,8 +51,9 @@
 		"endless head": {outcome.ReasonTruncated, func(r *http.Request, _ string) string {
 			return rawReply(r, 200, "2", "X-A: "+strings.Repeat("a", 2*maxReplyHeaderBytes)+"\r\n", answerBody(r, "2"))
 		}},
-		"status 000":      {outcome.ReasonMalformed, replaced(" 200 ", " 000 ")},
-		"blank in a name": {outcome.ReasonMalformed, replaced("\r\n\r\n", "\r\nX Odd: 1\r\n\r\n")},
+		"status 000":          {outcome.ReasonMalformed, replaced(" 200 ", " 000 ")},
+		"blank in a name":     {outcome.ReasonMalformed, replaced("\r\n\r\n", "\r\nX Odd: 1\r\n\r\n")},
+		"blank before a name": {outcome.ReasonMalformed, replaced("Content-Length", "X-A: b\r\n X-Odd: 1\r\nContent-Length")},
 		"blank and shed": {outcome.ReasonMalformed, func(r *http.Request, _ string) string {
 			return rawReply(r, 503, "2", "X-Outcome: shed\r\nX Odd: 1\r\n", "")
 		}},
