Reject answers of another major version of HTTP

Callers saw: an answer that began with HTTP/7.3, HTTP/2.0 or HTTP/0.9 arrived as a complete success. Found while looking for other malformed heads that net/http accepts.

Cause: net/http takes any two digits around a dot for a version.

Change: exchange.RoundTrip returns ErrMalformedHead unless the major version is 1. The framing rules of HTTP/1 say nothing about other versions; HTTP/1.0 and later minor versions are still read (RFC 9110, section 2.5).

Measured: without the change, the three new cases of TestMalformedAnswerReachesNoCaller fail (the order is answered 200 with the replica's body); with it they pass, also with -race.

--- a/internal/exchange/transport.go
+++ b/internal/exchange/transport.go
@@ -15,6 +15,9 @@
 // checkHead returns an error that wraps ErrMalformedHead if the head of a final answer,
 // as net/http has read it, is malformed. continued is set if it has a continuation line.
 func checkHead(resp *http.Response, continued bool) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %s", ErrMalformedHead, resp.Proto)
+	}
 	// RFC 9110, section 15. No request of this system offers to switch protocols (101),
 	// and net/http passes over the other interim answers.
 	if resp.StatusCode < 200 || resp.StatusCode > 599 {
