Answer requests that a stopping instance cannot finish

Callers saw (reported by operators of similar systems, shown here by a test): in a planned stop, requests that came late in the grace time were taken and passed on to replicas; near its end their connections were closed without an answer, those of orders too.

Cause: the shutdown bounded the drain but not the requests. They kept the deadlines of their callers and routes, and the end of the drain closed all connections that were still open.

Change: Forwarder.EndRequestsAt, set when the shutdown begins. A request that comes later gets at most this deadline, which replicas are told too. A request in flight at the end is decided at once with what is known: a merged answer if enough shards are in, "not run" with a Retry-After if nothing was sent, 504 otherwise. The end lies 100 ms before that of the drain, for writing the answers.

Why it works: the end goes through the same decision as a deadline, so what it says of a run stays true, and the connection then closes after its answer.

Ruled out: refusing every request that comes during the stop. For the first half of the grace time (2.5 s at most) the balancer still sends callers here, and nearly all of their requests finish.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -343,3 +344,44 @@
 		t.Errorf("%d requests in %v to a replica that accepts 2 a second, want %g at most", n, time.Since(start), allowed)
 	}
 }
+
+// Guards against a stop that takes a request late in the grace time, passes it on, and
+// closes its connection without an answer when the time ends.
+func TestStopAnswersWhatItCannotFinish(t *testing.T) {
+	d := deploy(t)
+	for _, r := range d.replicas {
+		r.SetRunTime(time.Minute)
+	}
+	d.stop()
+	stopped := time.Now()
+	time.Sleep(900 * time.Millisecond) // the listener is open for the first half of the grace time
+	var done sync.WaitGroup
+	for _, r := range []struct{ method, path string }{{"POST", "/one/x"}, {"GET", "/all/x"}} {
+		c := d.connect()
+		if err := d.request(r.method, r.path, "").Write(c); err != nil {
+			t.Fatal(err)
+		}
+		done.Go(func() {
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("%s %s: %v after %v", r.method, r.path, err, time.Since(stopped))
+				return
+			}
+			resp.Body.Close()
+			// The replicas have begun to run it, so nothing is promised.
+			if resp.StatusCode != http.StatusGatewayTimeout || !resp.Close {
+				t.Errorf("%s %s: %d, closes: %v", r.method, r.path, resp.StatusCode, resp.Close)
+			}
+		})
+	}
+	done.Wait()
+	if err := <-d.runResult; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if took := time.Since(stopped); took > d.instance.Grace {
+		t.Errorf("the stop took %v", took)
+	}
+	if runs := d.replicas[0].Runs("a1"); runs == 0 {
+		t.Error("no request was passed on")
+	}
+}
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -13,20 +13,25 @@
 	// exitMargin is the part of the grace time that is reserved for the exit of the
 	// process after the drain.
 	exitMargin = 400 * time.Millisecond
+	// finalAnswerMargin is the part of the drain that is reserved for writing the answers
+	// of the requests that are still in flight near its end.
+	finalAnswerMargin = 100 * time.Millisecond
 )
 
 // shutdown reports not ready, makes each answer close its connection, deregisters
 // the instance, and waits until the load balancer has removed it. Then it drains the
-// requests in flight, until exitMargin before the end of the grace time.
+// requests in flight, until exitMargin before the end of the grace time. Those that take
+// longer are answered finalAnswerMargin before that.
 func (d *Daemon) shutdown(force context.Context) error {
 	started, grace := time.Now(), d.settings.Load().Grace
 	d.stopping.Store(true)
 	d.server.AnnounceClose()
 	d.forwarder.SetLeaving()
+	end := started.Add(grace - exitMargin)
+	d.forwarder.EndRequestsAt(end.Add(-finalAnswerMargin))
 	d.logger.Info().Str("event", "stop").Dur("grace", grace).Int64("in_flight", d.forwarder.InFlight()).
 		Msg("instance stops")
 	d.registrar.Deregister()
-	end := started.Add(grace - exitMargin)
 	pause(force, min(balancerRemovalDelay, grace/2)-time.Since(started))
 	ctx, cancel := context.WithDeadline(force, end)
 	defer cancel()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -42,6 +42,10 @@
 	leafBook *leafBook
 	leaving  atomic.Bool
 
+	// endAt is when all requests end, nil if that is not set; requestsEnded is closed then.
+	endAt         atomic.Pointer[time.Time]
+	requestsEnded chan struct{}
+
 	inFlight atomic.Int64
 	splits   atomic.Uint64 // requests to routes with a traffic split
 	lastCall atomic.Uint64 // number of the last call to a leaf
@@ -53,7 +57,7 @@
 // NewForwarder returns a Forwarder. leaves may be nil.
 func NewForwarder(logger *log.Logger, scope tally.Scope, store *catalog.Store, pool *replica.Pool, leaves Leaves, o Options) *Forwarder {
 	f := &Forwarder{
-		logger: logger, store: store, pool: pool, leaves: leaves, leafBook: newLeafBook(), parts: map[partKey]*part{}, budget: NewRetryBudget(), metrics: newMetrics(scope),
+		logger: logger, store: store, pool: pool, leaves: leaves, leafBook: newLeafBook(), parts: map[partKey]*part{}, budget: NewRetryBudget(), metrics: newMetrics(scope), requestsEnded: make(chan struct{}),
 	}
 	// An instance that has restarted must not use the numbers of calls that leaves still
 	// know from before.
@@ -71,6 +75,15 @@
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
+// EndRequestsAt bounds the deadlines of all requests of callers by a time, for the
+// shutdown: those in flight then are answered at once with what is known of them. Only the
+// first call has an effect.
+func (f *Forwarder) EndRequestsAt(end time.Time) {
+	if f.endAt.CompareAndSwap(nil, &end) {
+		time.AfterFunc(time.Until(end), func() { close(f.requestsEnded) })
+	}
+}
+
 // notReadyRetryAfter is the retry delay given to callers while this instance has
 // no configuration. Reading it takes about two calls to the store.
 const notReadyRetryAfter = 200 * time.Millisecond
@@ -131,6 +144,9 @@
 	if req.CallerTimeout > 0 {
 		r.deadline = earlier(r.deadline, r.start.Add(req.CallerTimeout-deliveryMargin))
 	}
+	if end := f.endAt.Load(); end != nil {
+		r.deadline = earlier(r.deadline, *end)
+	}
 	r.onTime, r.objective, r.late = r.start.Add(route.Objective-deliveryMargin), r.start.Add(route.Objective), r.start.Add(2*route.Objective)
 	r.required = requiredShards(len(services), route)
 	var plan *scatterPlan
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -163,6 +163,9 @@
 		case <-timer.C:
 			r.startDueExchanges(time.Now())
 			r.startDueGroups(time.Now())
+		case <-r.f.requestsEnded:
+			r.deadline = earlier(r.deadline, time.Now())
+			r.drainResults()
 		case <-r.ctx.Done():
 			r.cancel()
 			return Answer{Code: Abandoned}
