Bound the memory of target replies that do not end

Callers would see (reported by operators of similar systems, shown here by a test): targets in trouble send bodies without end; the instance keeps 16 MiB of each at once, runs out of memory, and the requests of all other callers end with it.

Cause: the client of targets bounded each body, but not all bodies together, and grew its buffers by doubling, which left as much garbage.

Change: the clients of a pool share one exchange.BodyReader, with 16 MiB for one reply and 32 MiB for all large ones. A reply for which there is no memory is lost, and does not count against its target.

Why it works: the blocks of large bodies are counted over all clients and are used again instead of becoming garbage.

Already handled before, the tests are kept: heads without end, on both clients, and the bodies of replicas on the users' platform (TestBytesWithoutEnd).

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -28,10 +28,6 @@
 	evidenceBroken                  // broken connection or unusable answer
 )
 
-// maxReplyHeaderBytes bounds the head of one reply: a target in trouble may send bytes
-// without end.
-const maxReplyHeaderBytes = 64 << 10
-
 // reply is the classified result of one exchange.
 type reply struct {
 	result      outcome.Result
@@ -45,7 +41,7 @@
 // client sends to one address of a target. It is safe for concurrent use.
 type client struct {
 	address   string
-	maxBody   int64
+	bodies    *exchange.BodyReader
 	transport *http.Transport
 }
 
@@ -56,7 +52,7 @@
 	}
 	return &client{
 		address: address,
-		maxBody: opts.MaxReplyBytes,
+		bodies:  opts.bodies,
 		transport: &http.Transport{
 			DialContext: exchange.CountingDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
 				return opts.dial(ctx, dialer, network, addr)
@@ -67,7 +63,7 @@
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     90 * time.Second,
 
-			MaxResponseHeaderBytes: maxReplyHeaderBytes,
+			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 		},
 	}
 }
@@ -196,16 +192,15 @@
 	if media, _, err := mime.ParseMediaType(h.Get("Content-Type")); err != nil || media != "application/json" {
 		return brokenReply(outcome.ReasonMalformed)
 	}
-	if resp.ContentLength > c.maxBody {
+	body, err := c.bodies.Read(resp)
+	switch {
+	case errors.Is(err, exchange.ErrBodyTooLarge):
 		return brokenReply(outcome.ReasonMalformed)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
-	if err != nil {
+	case errors.Is(err, exchange.ErrNoBodyMemory): // which says nothing of this target
+		return reply{result: outcome.Uncertain(outcome.ReasonOverload), aborted: true}
+	case err != nil:
 		return interruptedReply(ctx)
 	}
-	if int64(len(body)) > c.maxBody {
-		return brokenReply(outcome.ReasonMalformed)
-	}
 	if reason := checkBody(body, request); reason != outcome.ReasonNone {
 		return brokenReply(reason)
 	}
@@ -231,8 +226,7 @@
 	default:
 		return brokenReply(outcome.ReasonMalformed)
 	}
-	// A short body is read to its end so that the connection can be reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+	exchange.DiscardBody(resp)
 	return r
 }
 
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/exchange"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/state"
 )
@@ -49,7 +50,7 @@
 			return rawReply(r, 200, "2", "", answerBody(r, "2")+strings.Repeat(" ", 5000))
 		}},
 		"endless head": {outcome.ReasonTruncated, func(r *http.Request, _ string) string {
-			return rawReply(r, 200, "2", "X-A: "+strings.Repeat("a", 2*maxReplyHeaderBytes)+"\r\n", answerBody(r, "2"))
+			return rawReply(r, 200, "2", "X-A: "+strings.Repeat("a", 2*exchange.MaxHeadBytes)+"\r\n", answerBody(r, "2"))
 		}},
 		"status 000":          {outcome.ReasonMalformed, replaced(" 200 ", " 000 ")},
 		"blank in a name":     {outcome.ReasonMalformed, replaced("\r\n\r\n", "\r\nX Odd: 1\r\n\r\n")},
@@ -67,7 +68,7 @@
 	for name, tc := range cases {
 		runInBubble(t, name, func(t *testing.T) {
 			h := newHarness(t, 1)
-			h.pool.opts.MaxReplyBytes = 4096
+			h.pool.opts.bodies = exchange.NewBodyReader(4096, 0)
 			h.fake.handle = func(c net.Conn, r *http.Request) bool {
 				attempt := r.Header.Get("X-Attempt-Id")
 				if attempt != "2" {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabsill/baobabsill/declare"
+	"github.com/baobabsill/baobabsill/internal/exchange"
 	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
 	"github.com/baobabsill/baobabsill/internal/state"
@@ -21,10 +22,13 @@
 	LocalIP net.IP
 	// DialTimeout bounds opening a connection, default 1 s.
 	DialTimeout time.Duration
-	// MaxReplyBytes bounds the body of a reply, default 16 MiB.
+	// MaxReplyBytes bounds the body of a reply, default 16 MiB. All large replies that are
+	// being read at the same time take up to twice as much together.
 	MaxReplyBytes int64
 	// Dial replaces the dialer in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	bodies *exchange.BodyReader // set by NewPool
 }
 
 func (o Options) dial(ctx context.Context, d *net.Dialer, network, address string) (net.Conn, error) {
@@ -66,6 +70,7 @@
 	if opts.MaxReplyBytes <= 0 {
 		opts.MaxReplyBytes = 16 << 20
 	}
+	opts.bodies = exchange.NewBodyReader(opts.MaxReplyBytes, 2*opts.MaxReplyBytes)
 	return &Pool{
 		log: logger, opts: opts, metrics: newMetrics(scope), backends: map[string]*Backend{},
 		leavingIncarnations: map[incarnationKey]time.Time{}, pendingHandovers: map[string]pendingHandover{},
