Say in the answer and the log that a request ended with its instance

Operators would see: a request that the stop of its instance has ended logged as timed out or not run with no reason, or with that of an earlier exchange.

Change: such an answer has the reason "instance stops".

Measured: TestRequestsEndWithTheInstance fails without the change in four cases (reason "" or "connection") and passes five times with it; the packages forward and edge pass with -race.

--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -77,6 +77,9 @@
 			reason = sh.reason
 		}
 	}
+	if r.f.haveRequestsEnded(now) {
+		reason = "instance stops"
+	}
 	switch {
 	case !mayHaveRun:
 		return r.refuse(reason)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// haveRequestsEnded reports whether the time of EndRequestsAt has come.
+func (f *Forwarder) haveRequestsEnded(now time.Time) bool {
+	end := f.endAt.Load()
+	return end != nil && !now.Before(*end)
+}
+
 // notReadyRetryAfter is the retry delay given to callers while this instance has
 // no configuration. Reading it takes about two calls to the store.
 const notReadyRetryAfter = 200 * time.Millisecond
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -48,6 +48,9 @@
 					if a.Code == NotRun && a.RetryAfter <= 0 {
 						t.Error("refused without a time to come back")
 					}
+					if (a.Code == NotRun || a.Code == TimedOut) && a.Reason != "instance stops" {
+						t.Errorf("reason %q", a.Reason)
+					}
 					near := h.replicas["s3/near"]
 					near.mu.Lock()
 					defer near.mu.Unlock()
