Reject answers of HTTP/1.0 with a transfer coding

Callers saw: a replica's answer with HTTP/1.0 and Transfer-Encoding: chunked arrived as a success whose body had the sizes of the chunks in it.

Cause: net/http removes the field, ignores it in HTTP/1.0 and reads to the end of the connection.

Change: the scan of the head notes the field, and exchange.RoundTrip returns ErrMalformedHead. RFC 9112, section 6.1, has the framing of such an answer treated as faulty.

Measured: the case "coding in HTTP/1.0" of TestMalformedAnswerReachesNoCaller fails without the change (the order is answered 200) and passes with it, as do the packages exchange, platform, target and internal/platform with -race.

--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -13,15 +13,17 @@
 // malformedHeads are what begins the answers of a replica in trouble. Each names the
 // attempt and bears a signature like a proper answer.
 var malformedHeads = map[string]string{
-	"status 000":  "HTTP/1.1 000 x\r\n%s",
-	"status 099":  "HTTP/1.1 099 x\r\n%s",
-	"status +20":  "HTTP/1.1 +20 OK\r\n%s",
-	"status 101":  "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n%s",
-	"status 600":  "HTTP/1.1 600 x\r\n%s",
-	"status 999":  "HTTP/1.1 999 x\r\n%s",
-	"version 7.3": "HTTP/7.3 200 OK\r\n%s",
-	"version 2.0": "HTTP/2.0 200 OK\r\n%s",
-	"version 0.9": "HTTP/0.9 200 OK\r\n%s",
+	"status 000":         "HTTP/1.1 000 x\r\n%s",
+	"000, not run":       "HTTP/1.1 000 x\r\n%sX-Not-Executed: 1\r\n",
+	"status 099":         "HTTP/1.1 099 x\r\n%s",
+	"status +20":         "HTTP/1.1 +20 OK\r\n%s",
+	"status 101":         "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n%s",
+	"status 600":         "HTTP/1.1 600 x\r\n%s",
+	"status 999":         "HTTP/1.1 999 x\r\n%s",
+	"coding in HTTP/1.0": "HTTP/1.0 200 OK\r\n%sTransfer-Encoding: chunked\r\n",
+	"version 7.3":        "HTTP/7.3 200 OK\r\n%s",
+	"version 2.0":        "HTTP/2.0 200 OK\r\n%s",
+	"version 0.9":        "HTTP/0.9 200 OK\r\n%s",
 
 	"blank in a name":       "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\n",
 	"blank after a name":    "HTTP/1.1 200 OK\r\n%sX-Odd : 1\r\n",
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp, e.conn.head.foundContinuation()); err != nil {
+	if err := checkHead(resp, e.conn.head.found()); err != nil {
 		e.Abort()
 		resp.Body.Close() //nolint:errcheck // the connection is closed already
 		return nil, err
--- a/internal/exchange/transport.go
+++ b/internal/exchange/transport.go
@@ -13,11 +13,16 @@
 var ErrMalformedHead = errors.New("malformed head of an answer")
 
 // checkHead returns an error that wraps ErrMalformedHead if the head of a final answer,
-// as net/http has read it, is malformed. continued is set if it has a continuation line.
-func checkHead(resp *http.Response, continued bool) error {
+// as net/http has read it, is malformed.
+func checkHead(resp *http.Response, found headFacts) error {
 	if resp.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %s", ErrMalformedHead, resp.Proto)
 	}
+	// RFC 9112, section 6.1. net/http ignores the coding and reads to the end of the
+	// connection.
+	if !resp.ProtoAtLeast(1, 1) && found.coded {
+		return fmt.Errorf("%w: transfer coding in %s", ErrMalformedHead, resp.Proto)
+	}
 	// RFC 9110, section 15. No request of this system offers to switch protocols (101),
 	// and net/http passes over the other interim answers.
 	if resp.StatusCode < 200 || resp.StatusCode > 599 {
@@ -25,7 +30,7 @@
 	}
 	// RFC 9112, section 5.2, allows a proxy to discard such an answer. The line may be a
 	// field of its own whose name begins with white space.
-	if continued {
+	if found.continued {
 		return fmt.Errorf("%w: continuation line", ErrMalformedHead)
 	}
 	// RFC 9112, section 5.1. net/http rejects names with control bytes itself.
