Share the servers of raw answers between the tests

Found in the read of the whole change: three tests wrote answers without end with the same loop, two had the same bound of memory, two took over a connection to write raw bytes, and three had an accept loop of their own.

--- a/internal/exchange/exchangetest/memory.go
+++ b/internal/exchange/exchangetest/memory.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxEndlessMemory bounds what answers without end may take, in bytes. It is a third of the
+// memory of the smallest machine; requests in flight and everything else share the rest.
+const MaxEndlessMemory = 184 << 20 / 3
+
 // WatchMemory samples the heap until the returned function is called, which returns by
 // how much it grew at most, in bytes.
 func WatchMemory(t testing.TB) (stop func() uint64) {
--- a/internal/peer/malformed_test.go
+++ b/internal/peer/malformed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabsill/baobabsill/internal/exchange/exchangetest"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
@@ -76,24 +77,17 @@
 		"proper":               {status("200") + media, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { ln.Close() })
-			go func() {
-				c0, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer c0.Close()
-				if serveFields(c0, c.fields, "") == nil {
-					_, _ = io.Copy(io.Discard, c0) // until the client closes
-				}
-			}()
+			ln := exchangetest.Listen(t, func(_ int, conn net.Conn) {
+				go func() {
+					defer conn.Close()
+					if serveFields(conn, c.fields, "") == nil {
+						_, _ = io.Copy(io.Discard, conn) // until the client closes
+					}
+				}()
+			})
 			conns := NewConns(nil, nil, Options{ConnsPerPeer: 1, PingAfter: time.Second})
 			t.Cleanup(conns.Close)
-			_, err = conns.Client(ln.Addr().String()).Fetch(t.Context(), &peerpb.FetchRequest{})
+			_, err := conns.Client(ln.Addr().String()).Fetch(t.Context(), &peerpb.FetchRequest{})
 			if (err == nil) != c.read || err != nil && NotSent(err) {
 				t.Errorf("%v, not sent: %t", err, NotSent(err))
 			}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -3,25 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/zeebo/errs"
-)
 
-// answerRaw writes bytes to the connection of a request and closes it.
-func answerRaw(t *testing.T, w http.ResponseWriter, answer string) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	defer conn.Close()
-	_, _ = io.WriteString(conn, answer)
-}
+	"github.com/baobabsill/baobabsill/internal/exchange/exchangetest"
+)
 
 // Guards against reporting a change that may have taken effect as one that did
 // not, and the reverse: the class of the error must follow from how far the call
@@ -43,13 +33,13 @@
 			_, _ = w.Write([]byte(`{"version":`))
 		}, &ErrOutcomeUnknown},
 		"status 000": {func(w http.ResponseWriter, _ *http.Request) {
-			answerRaw(t, w, "HTTP/1.1 000 x\r\nContent-Length: 13\r\n\r\n"+`{"version":1}`)
+			exchangetest.AnswerRaw(w, "HTTP/1.1 000 x\r\nContent-Length: 13\r\n\r\n"+`{"version":1}`)
 		}, &ErrOutcomeUnknown},
 		"blank in a name": {func(w http.ResponseWriter, _ *http.Request) {
-			answerRaw(t, w, "HTTP/1.1 503 x\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n")
+			exchangetest.AnswerRaw(w, "HTTP/1.1 503 x\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n")
 		}, &ErrOutcomeUnknown},
 		"control byte in a name": {func(w http.ResponseWriter, _ *http.Request) {
-			answerRaw(t, w, "HTTP/1.1 503 x\r\nX\x01Odd: 1\r\nContent-Length: 0\r\n\r\n")
+			exchangetest.AnswerRaw(w, "HTTP/1.1 503 x\r\nX\x01Odd: 1\r\nContent-Length: 0\r\n\r\n")
 		}, &ErrOutcomeUnknown},
 		"missing": {http.NotFound, &ErrNotFound},
 		"conflict": {func(w http.ResponseWriter, r *http.Request) {
--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -16,10 +15,6 @@
 	"github.com/baobabsill/baobabsill/internal/state"
 )
 
-// maxEndlessMemory is a third of the memory of the smallest machine, in bytes. Requests
-// in flight and everything else share the rest.
-const maxEndlessMemory = 184 << 20 / 3
-
 // A target in trouble may send bytes without end, in a head or in a body, until the caller
 // closes the connection. Guards against requests that keep what they read until the
 // process runs out of memory, and that do not end before their deadline.
@@ -43,13 +38,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			repeated := []byte(tc.repeated)
-			address := serveTargets(t, func(c net.Conn, r *http.Request) bool {
-				_, err := io.WriteString(c, tc.start(r))
-				for err == nil {
-					_, err = c.Write(repeated)
-				}
-				return false
-			})
+			address := exchangetest.Listen(t, func(_ int, c net.Conn) {
+				go exchangetest.Serve(c, func(r *http.Request) bool {
+					exchangetest.WriteWithoutEnd(c, tc.start(r), repeated)
+					return false
+				})
+			}).Addr().String()
 			pool := NewPool(nil, nil, Options{LocalIP: net.IPv4(127, 0, 0, 1)})
 			defer pool.Close()
 			peak := exchangetest.WatchMemory(t)
@@ -68,8 +62,8 @@
 				})
 			}
 			done.Wait()
-			if used := peak(); used > maxEndlessMemory {
-				t.Errorf("%d replies took %d MB, want %d at most", targets, used>>20, maxEndlessMemory>>20)
+			if used := peak(); used > exchangetest.MaxEndlessMemory {
+				t.Errorf("%d replies took %d MB, want %d at most", targets, used>>20, exchangetest.MaxEndlessMemory>>20)
 			}
 		})
 	}
@@ -80,24 +74,3 @@
 	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Attempt-Id: %s\r\nContent-Type: application/json\r\n",
 		status, r.Header.Get("X-Request-Id"), r.Header.Get("X-Attempt-Id"))
 }
-
-// serveTargets serves requests over TCP with handle until the test ends, and returns the
-// address. It ends once all connections are closed.
-func serveTargets(t *testing.T, handle func(c net.Conn, r *http.Request) bool) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var served sync.WaitGroup
-	t.Cleanup(func() {
-		l.Close()
-		served.Wait()
-	})
-	served.Go(func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			served.Go(func() { exchangetest.Serve(c, func(r *http.Request) bool { return handle(c, r) }) })
-		}
-	})
-	return l.Addr().String()
-}
