Show what clients that don't behave do to an instance

A crowd of clients that send heads, trailers or bodies without end, or stop just short of their end and stay, ends a process or fills its memory. The new package standin/crowds starts an instance of the commands edge and run as a process of its own, opens one crowd at one of its listeners, and checks that the process lives, that it has held at most the 184 MB of the smallest machine and 350 of 400 descriptors, and that each listener then answers an ordinary request while the crowd is still connected. make crowds runs these tests one at a time and apart from the others; make test calls it.

A hundred clients that send a head of 15 KB, within the limits, in segments of 16 bytes take over 1.5 GB; Hertz keeps a copy of the bytes so far for each segment. A process that has no descriptors left ends, as Hertz returns the error of Accept. TestLargestRequestInCalm, which passes, guards against bounds that an ordinary caller meets.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: demo test failures soak bench build check generate
+.PHONY: demo test crowds failures soak bench build check generate
 
 # demo runs baobabsill and its stand-ins as separate processes on loopback.
 demo: build
@@ -22,6 +22,12 @@
 test:
 	$(GO) test -race -count=1 -timeout 20m $(if $(SKIPPED),-skip '^($(SKIPPED))$$') work
 	$(if $(WITHOUT_RACE),$(GO) test -count=1 -run '^($(WITHOUT_RACE))$$' ./internal/forward)
+	$(MAKE) crowds
+
+# crowds runs the tests with crowds of clients that don't behave, one at a time and apart
+# from the other tests, because they measure the memory of processes.
+crowds:
+	$(GO) test -count=1 -timeout 20m -tags crowds $(if $(SKIPPED),-skip '^($(SKIPPED))$$') ./standin/crowds
 
 # failures runs the tests over real processes. They check wall-clock times (3 s), so
 # their result depends on the load of the machine and they are not part of CI.
@@ -44,8 +50,8 @@
 check:
 	test -z "$$(gofmt -l $$(git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$'))"
 	$(GO) vet work
-	$(GO) vet -tags failures ./standin/failures
-	$(GO) tool staticcheck -tags failures ./... ./declare/... ./standin/...
+	$(GO) vet -tags failures,crowds ./standin/failures ./standin/crowds
+	$(GO) tool staticcheck -tags failures,crowds ./... ./declare/... ./standin/...
 
 generate:
 	protoc -I internal/peer/peerpb --go_out=internal/peer/peerpb --go_opt=paths=source_relative \
--- a/standin/harness/cluster.go
+++ b/standin/harness/cluster.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/baobabsill/baobabsill/declare"
@@ -27,6 +28,9 @@
 	Platform  *AdminClient
 	Link      *AdminClient
 	Targets   map[string]*AdminClient // by zone
+	// Launcher is a program with its first arguments that runs the command line of an
+	// instance, which follows. Empty if instances are started directly.
+	Launcher []string
 
 	bin, dir        string
 	platformAddress string // IP:port
@@ -150,7 +154,8 @@
 	if err := os.WriteFile(file, []byte(c.Topology.settingsFile(i, c.Instances, c.platformAddress)), 0o600); err != nil {
 		return err
 	}
-	p, err := c.supervisor.Start(i.Name, filepath.Join(c.bin, "baobabsill"), "run", "--config", file)
+	command := append(slices.Clone(c.Launcher), filepath.Join(c.bin, "baobabsill"), "run", "--config", file)
+	p, err := c.supervisor.Start(i.Name, command[0], command[1:]...)
 	if err == nil {
 		c.Processes[i.Name] = p
 	}
