Show what frames of peers and reconnecting clients do to an instance

More crowds, with the bounds of the others. Peers open connections of HTTP/2 without a call: one frame of 1 MB, for which the server keeps a buffer as large; pings that ask for answers which are not read; streams that are reset as soon as they are opened. Callers connect again and again with a head of 15 KB that is malformed at its end; others never read an answer.

--- a/standin/crowds/clients_test.go
+++ b/standin/crowds/clients_test.go
@@ -133,3 +133,17 @@
 	_, err := c.Read(make([]byte, 4<<10))
 	return err
 }
+
+// sendOnce sends text on a connection of its own and reads the first bytes of the answer.
+func sendOnce(address, text string) error {
+	c, err := net.DialTimeout("tcp", address, sendTimeout)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, text); err != nil {
+		return nil //nolint:nilerr // refused before its end
+	}
+	readAnswer(c) //nolint:errcheck // the server may close the connection
+	return nil
+}
--- a/standin/crowds/listener_test.go
+++ b/standin/crowds/listener_test.go
@@ -136,6 +136,20 @@
 	{"bodies with a length", 900, func(e endpoint) script {
 		return atOnce(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", e.request, e.bodyBytes, strings.Repeat("b", e.bodyBytes-1)))
 	}},
+	{"reconnections", 50, func(e endpoint) script {
+		head := e.request + strings.Repeat("a:\r\n", min(e.headBytes, 15<<10)/4) + "a b:\r\n\r\n"
+		return func(c net.Conn) error {
+			for range 200 {
+				if err := sendOnce(c.RemoteAddr().String(), head); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}},
+	{"unread answers", 300, func(e endpoint) script {
+		return repeat("", e.request+"Content-Length: 0\r\n\r\n", 1<<20)
+	}},
 	{"idle after a large body", 600, func(e endpoint) script {
 		body := chunkedBody(e, e.bodyBytes/2) + "0\r\n\r\n"
 		return func(c net.Conn) error {
--- a/standin/crowds/peers_test.go
+++ b/standin/crowds/peers_test.go
@@ -13,7 +13,20 @@
 )
 
 // peerPreface begins a connection of HTTP/2: the preface and an empty SETTINGS frame.
-const peerPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+var peerPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(0x4, "")
+
+const (
+	frameHeaders = 0x1
+	frameReset   = 0x3
+	framePing    = 0x6
+	frameUnknown = 0xfa // servers skip frames of a type that they do not know
+)
+
+// frame is a frame of HTTP/2 for the whole connection.
+func frame(kind byte, payload string) string {
+	n := len(payload)
+	return string([]byte{byte(n >> 16), byte(n >> 8), byte(n), kind, 0, 0, 0, 0, 0}) + payload
+}
 
 // peerCrowd is clients of the peers' listener whose requests stop short of their end.
 type peerCrowd struct {
@@ -101,3 +114,38 @@
 		})
 	}
 }
+
+// resetStreams returns the frames that open n streams and reset each at once.
+func resetStreams(n int) string {
+	// An index of the static table of HPACK for method and scheme, literals without an
+	// index for the path and the authority.
+	header := "\x83\x86\x04\x02/q\x01\x01h" + "\x00\x08x-filler" + "\x7f\xe1\x5c" + strings.Repeat("v", 12_000)
+	var b strings.Builder
+	for i := range n {
+		id := string([]byte{0, 0, byte((2*i + 1) >> 8), byte(2*i + 1)})
+		headers, reset := frame(frameHeaders, header), frame(frameReset, "\x00\x00\x00\x08")
+		b.WriteString(headers[:4] + "\x04" + id + headers[9:]) // 4: the end of the header
+		b.WriteString(reset[:5] + id + reset[9:])
+	}
+	return b.String()
+}
+
+// peerScripts are crowds of connections whose frames are valid.
+var peerScripts = map[string]script{
+	// The largest frame that the server of the standard library accepts by default.
+	"large frames":  atOnce(peerPreface + frame(frameUnknown, strings.Repeat("f", 1<<20))),
+	"reset streams": atOnce(peerPreface + resetStreams(2_000)),
+	// Each asks for an answer, and no answer is read.
+	"unread pings": repeat(peerPreface, frame(framePing, "12345678"), 9_000*17),
+}
+
+// Guards against connections of peers that make the server keep memory without a call.
+func TestCrowdsOfPeerFrames(t *testing.T) {
+	for name, send := range peerScripts {
+		t.Run(name, func(t *testing.T) {
+			d := startEdge(t, nil)
+			openCrowd(t, d.endpoints["peers"].address, 600, send)
+			d.checkBounds(t)
+		})
+	}
+}
