Read requests through a buffer that does not keep copies

Callers that send a head of 15 KB, within the limits, in segments of 16 bytes made an instance hold 15 MB each: a hundred of them took over 1.5 GB. So did trailers behind a chunked body, which had no limit at all, and chunk sizes that end in blanks without end.

The cause is the buffer of Hertz's connections. It keeps all segments until the request has been answered, and for a head that spans two of its nodes it copies all bytes so far again for each segment, and keeps the copies too. Hertz also parses the whole head again for each segment.

The new package httpserver gives Hertz connections with a buffer of their own, one slice that grows with what is waited for, drops what was skipped and shrinks after a request. A head or trailers that have no end yet are read to their end before Hertz parses them again, up to the limit in force: twice that of the configuration and 8 KiB for what it does not count, 256 KiB without one.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -12,10 +12,11 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/gateway"
+	"github.com/baobabsill/baobabsill/internal/httpserver"
 	"github.com/baobabsill/baobabsill/internal/listener"
 	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/outcome"
@@ -62,6 +63,9 @@
 	Metrics http.Handler
 }
 
+// maxHeaderBytes limits the size of the head of a request.
+const maxHeaderBytes = 256 << 10
+
 func (o Options) withDefaults() Options {
 	if o.MaxBodyBytes <= 0 {
 		o.MaxBodyBytes = 1 << 20
@@ -116,7 +120,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.listener = listener.New(ln, s.options.ReadTimeout, rewriteHertzRefusal)
+		s.listener = listener.New(ln, listener.Options{ReadTimeout: s.options.ReadTimeout, Rewrite: rewriteHertzRefusal})
 	}
 	return s.listener.Addr(), nil
 }
@@ -127,18 +131,15 @@
 	if _, err := s.Listen(); err != nil {
 		return err
 	}
-	h := server.New(
-		server.WithListener(s.listener),
-		server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true),
-		server.WithMaxRequestBodySize(s.options.MaxBodyBytes),
-		server.WithReadTimeout(s.options.ReadTimeout),
-		server.WithIdleTimeout(s.options.IdleTimeout),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithDisablePrintRoute(true),
-		server.WithHandleMethodNotAllowed(true),
-		server.WithExitWaitTime(24*time.Hour), // the context of Shutdown ends the wait
-	)
+	h := httpserver.New(httpserver.Options{
+		Listener: s.listener, Limits: func() httpserver.Limits { return httpserver.Limits{Head: maxHeaderBytes} },
+		ReadTimeout: s.options.ReadTimeout, IdleTimeout: s.options.IdleTimeout,
+		Hertz: []hertzconfig.Option{
+			server.WithMaxRequestBodySize(s.options.MaxBodyBytes),
+			server.WithHandleMethodNotAllowed(true),
+			server.WithExitWaitTime(24 * time.Hour), // the context of Shutdown ends the wait
+		},
+	})
 	h.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)))
 	s.registerRoutes(h)
 	s.mu.Lock()
--- /dev/null
+++ b/internal/httpserver/conn.go
@@ -0,0 +1,191 @@
+package httpserver
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
+
+	"github.com/baobabsill/baobabsill/internal/listener"
+)
+
+// bufferBytes is the buffer of a connection between requests.
+const bufferBytes = 4 << 10
+
+// conn is a connection of Hertz with a buffer of its own. The one of Hertz keeps each
+// segment and a copy of all of them until the request has been answered.
+type conn struct {
+	network.Conn // writes and deadlines; its buffer for reads is not used
+	raw          *listener.Conn
+	limits       func() Limits
+	cancel       context.CancelFunc // of the requests
+	aborted      chan struct{}      // receives when the read of DetectConnectionClose has ended
+
+	buf  []byte
+	r, w int // buf[r:w] was read and not skipped
+	// parsed is set once Hertz has got all that is buffered and has skipped nothing. If
+	// it then asks for one byte more, a head or trailers have no end yet.
+	parsed bool
+}
+
+func newConn(c network.Conn, raw *listener.Conn, limits func() Limits, cancel context.CancelFunc) *conn {
+	return &conn{Conn: c, raw: raw, limits: limits, cancel: cancel, aborted: make(chan struct{}, 1)}
+}
+
+// Len returns how many bytes are buffered.
+func (c *conn) Len() int { return c.w - c.r }
+
+// Peek returns the next n bytes, which stay valid until the next call that reads.
+func (c *conn) Peek(n int) ([]byte, error) {
+	if c.parsed && n == c.Len()+1 {
+		if err := c.fillHead(); err != nil {
+			return nil, err
+		}
+	} else if err := c.fill(n); err != nil {
+		return nil, err
+	}
+	c.parsed = n == c.Len()
+	return c.buf[c.r : c.r+n], nil
+}
+
+// fill reads until n bytes are buffered.
+func (c *conn) fill(n int) error {
+	if c.Len() >= n {
+		return nil
+	}
+	if c.Len() == 0 {
+		c.r, c.w = 0, 0
+	}
+	c.reserve(n)
+	// More than n is read only as far as the smallest buffer has room, so that a long
+	// peek never leaves much behind.
+	end := min(len(c.buf), c.r+max(n, bufferBytes))
+	for c.Len() < n {
+		m, err := c.raw.Read(c.buf[c.w:end])
+		c.w += m
+		if err != nil && c.Len() < n {
+			return err
+		}
+	}
+	return nil
+}
+
+// fillHead reads until the buffer holds the end of a head or of trailers. Hertz parses
+// all of it again for each segment otherwise.
+func (c *conn) fillHead() error {
+	limit := c.limits().Head
+	for {
+		seen := c.Len()
+		if seen >= limit {
+			c.raw.Linger()
+			return hertzerrors.ErrHeaderTooLarge
+		}
+		c.reserve(min(limit, max(seen+1, 2*seen)))
+		m, err := c.raw.Read(c.buf[c.w:min(len(c.buf), c.r+limit)])
+		c.w += m
+		if m == 0 && err != nil {
+			return err
+		}
+		// An empty line may begin within the last three bytes that were seen before.
+		if endsHead(c.buf[c.r:c.w], max(0, seen-3)) {
+			return nil
+		}
+	}
+}
+
+// endsHead reports whether b has an empty line that ends at or behind b[from:].
+func endsHead(b []byte, from int) bool {
+	tail := b[from:]
+	return bytes.Contains(tail, []byte("\n\r\n")) || bytes.Contains(tail, []byte("\n\n")) ||
+		bytes.HasPrefix(b, []byte("\r\n")) || bytes.HasPrefix(b, []byte("\n"))
+}
+
+// reserve makes the buffer hold n bytes from r on.
+func (c *conn) reserve(n int) {
+	if n <= len(c.buf)-c.r {
+		return
+	}
+	size := max(bufferBytes, n)
+	if size <= len(c.buf) {
+		c.w = copy(c.buf, c.buf[c.r:c.w])
+		c.r = 0
+		return
+	}
+	c.replaceBuffer(size)
+}
+
+func (c *conn) replaceBuffer(size int) {
+	buf := make([]byte, size)
+	c.w = copy(buf, c.buf[c.r:c.w])
+	c.buf, c.r = buf, 0
+}
+
+// Skip drops the next n bytes, which must be buffered.
+func (c *conn) Skip(n int) error {
+	if n > c.Len() {
+		return io.ErrShortBuffer
+	}
+	c.r += n
+	c.parsed = false
+	return nil
+}
+
+// Release gives back what the buffer has grown by.
+func (c *conn) Release() error {
+	if len(c.buf) > bufferBytes && c.Len() <= bufferBytes {
+		c.replaceBuffer(bufferBytes)
+	}
+	return nil
+}
+
+// ReadByte returns the next byte.
+func (c *conn) ReadByte() (byte, error) {
+	b, err := c.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	return b[0], c.Skip(1)
+}
+
+// ReadBinary returns a copy of the next n bytes.
+func (c *conn) ReadBinary(n int) ([]byte, error) {
+	b, err := c.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	b = bytes.Clone(b)
+	return b, c.Skip(n)
+}
+
+// Read reads what is buffered, or else from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.Len() == 0 {
+		return c.raw.Read(b)
+	}
+	n := copy(b, c.buf[c.r:c.w])
+	return n, c.Skip(n)
+}
+
+// DetectConnectionClose cancels the requests of the connection when the client closes it.
+// No other read is allowed until AbortBlockingRead.
+func (c *conn) DetectConnectionClose() {
+	c.SetReadDeadline(time.Time{}) //nolint:errcheck // fails only on a closed connection
+	go func() {
+		var timeout net.Error
+		if _, err := c.Peek(1); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			c.cancel()
+		}
+		c.aborted <- struct{}{}
+	}()
+}
+
+// AbortBlockingRead ends what DetectConnectionClose began.
+func (c *conn) AbortBlockingRead() {
+	c.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+	<-c.aborted
+}
--- a/internal/ingress/admin.go
+++ b/internal/ingress/admin.go
@@ -4,10 +4,22 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+
+	"github.com/baobabsill/baobabsill/internal/httpserver"
+	"github.com/baobabsill/baobabsill/internal/listener"
+)
+
+const (
+	// adminTimeout bounds the reading of one request, and the time between two requests
+	// of a connection.
+	adminTimeout = 3 * time.Minute
+	// adminHeadBytes bounds the head of a request.
+	adminHeadBytes = 1 << 20
 )
 
 // Admin is an HTTP server for the load balancer or for operators.
@@ -34,7 +46,9 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Admin{listener: ln, engine: newEngine(ln)}
+	bounded := listener.New(ln, listener.Options{ReadTimeout: adminTimeout})
+	limits := func() httpserver.Limits { return httpserver.Limits{Head: adminHeadBytes} }
+	a := &Admin{listener: ln, engine: newEngine(bounded, limits, adminTimeout, adminTimeout)}
 	if o.Ready != nil {
 		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
 			status := http.StatusOK
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,10 +13,10 @@
 	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/phuslu/log"
 
 	"github.com/baobabsill/baobabsill/internal/forward"
+	"github.com/baobabsill/baobabsill/internal/httpserver"
 	"github.com/baobabsill/baobabsill/internal/listener"
 	"github.com/baobabsill/baobabsill/internal/logs"
 )
@@ -43,6 +43,10 @@
 	// configuration's own limits are checked.
 	maxBodyBytes   = 8 << 20
 	maxHeaderBytes = 256 << 10
+	// headerLimitFactor and requestLineBytes allow for what the limit of the
+	// configuration does not count of a head: white space and the request line.
+	headerLimitFactor = 2
+	requestLineBytes  = 8 << 10
 	// idleCheckInterval is how often connections are checked for the idle timeout
 	// of the configuration.
 	idleCheckInterval = time.Second
@@ -79,29 +83,31 @@
 		return nil, err
 	}
 	logs.RedirectHertz(logger)
-	s := &Server{logger: logger, listener: listener.New(ln, readTimeout, nil), codec: codec, forwarder: forwarder, limits: limits}
-	s.engine = newEngine(s.listener,
-		server.WithSenseClientDisconnection(true),
-		server.WithMaxRequestBodySize(maxBodyBytes),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
-		server.WithReadTimeout(readTimeout),
-		server.WithIdleTimeout(idleTimeout),
-	)
+	s := &Server{logger: logger, listener: listener.New(ln, listener.Options{ReadTimeout: readTimeout}), codec: codec, forwarder: forwarder, limits: limits}
+	s.engine = newEngine(s.listener, s.readLimits, readTimeout, idleTimeout,
+		server.WithMaxRequestBodySize(maxBodyBytes))
 	s.engine.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)), s.serve)
 	s.engine.NoRoute(func(context.Context, *app.RequestContext) {})
 	return s, nil
 }
 
-func newEngine(ln net.Listener, options ...hertzconfig.Option) *server.Hertz {
-	options = append(options,
-		server.WithListener(ln),
-		server.WithTransport(standard.NewTransporter),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithDisablePrintRoute(true),
-		hertzconfig.Option{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
-		server.WithExitWaitTime(0),
-	)
-	return server.New(options...)
+func newEngine(ln *listener.Listener, limits func() httpserver.Limits, readTimeout, idleTimeout time.Duration, options ...hertzconfig.Option) *server.Hertz {
+	return httpserver.New(httpserver.Options{
+		Listener: ln, Limits: limits, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Hertz: append([]hertzconfig.Option{
+			{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
+			server.WithExitWaitTime(0),
+		}, options...),
+	})
+}
+
+// readLimits returns the limits for the reading of a request.
+func (s *Server) readLimits() httpserver.Limits {
+	out := httpserver.Limits{Head: maxHeaderBytes}
+	if header := s.limits().HeaderBytes; header > 0 {
+		out.Head = min(out.Head, headerLimitFactor*header+requestLineBytes)
+	}
+	return out
 }
 
 // Run serves until Drain is called or ctx ends.
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := New(ln, time.Minute, nil)
+	l := New(ln, Options{ReadTimeout: time.Minute})
 	client, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -46,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conn := accepted.(*trackedConn)
+	conn := accepted.(*Conn)
 	late := &lateConn{Conn: conn.Conn, reading: make(chan struct{}), release: make(chan struct{}), closed: make(chan struct{})}
 	conn.Conn = late
 	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\n\r\n"); err != nil {
