Bound the requests at the listeners for balancers and operators

Any client of these two listeners could send a head of 1 MB and a body of 4 MB, and take three minutes for it: Hertz's defaults, as they set no limits. A hundred heads took 1.0 GB, six hundred bodies that stop short of their end 1.2 GB, and both listeners then answered nobody or the process had to be killed.

They now read 16 KiB of a head and 64 KiB of a body at most, within 5 s, and close connections that are idle for a minute. A readiness check or a scrape has a head of a few hundred bytes and no body.

--- a/internal/ingress/admin.go
+++ b/internal/ingress/admin.go
@@ -15,13 +15,18 @@
 )
 
 const (
-	// adminTimeout bounds the reading of one request, and the time between two requests
-	// of a connection.
-	adminTimeout = 3 * time.Minute
-	// adminHeadBytes bounds the head of a request.
-	adminHeadBytes = 1 << 20
+	// adminReadTimeout and adminIdleTimeout bound the reading of one request and the
+	// time between two requests of a connection.
+	adminReadTimeout = 5 * time.Second
+	adminIdleTimeout = time.Minute
 )
 
+// adminBodyBytes bounds the bodies of balancers and operators, which have none.
+const adminBodyBytes = 64 << 10
+
+// adminLimits bound the heads of their requests.
+var adminLimits = httpserver.Limits{Head: 16 << 10}
+
 // Admin is an HTTP server for the load balancer or for operators.
 type Admin struct {
 	listener net.Listener
@@ -46,9 +51,9 @@
 	if err != nil {
 		return nil, err
 	}
-	bounded := listener.New(ln, listener.Options{ReadTimeout: adminTimeout})
-	limits := func() httpserver.Limits { return httpserver.Limits{Head: adminHeadBytes} }
-	a := &Admin{listener: ln, engine: newEngine(bounded, limits, adminTimeout, adminTimeout)}
+	bounded := listener.New(ln, listener.Options{ReadTimeout: adminReadTimeout})
+	a := &Admin{listener: ln, engine: newEngine(bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout,
+		server.WithMaxRequestBodySize(adminBodyBytes))}
 	if o.Ready != nil {
 		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
 			status := http.StatusOK
