Read bodies as they arrive, within the limit in force

A chunked body in chunks of one byte took ten times its length, one in large chunks three times, and a single head that announces 8 MB took 8 MB before any of them arrived. A connection that had once sent a large body kept 512 KB from then on: 600 idle ones held 279 MB. The limit of the configuration was checked only once the whole body was there.

The cause is that Hertz reads a body into its own buffers, sized by what the client announces, and keeps the raw chunks until the answer. Package httpserver now has Hertz hand over a stream, and reads it itself before the handler runs: into a slice that doubles as bytes arrive, up to the limit in force. A length above it is refused with 413 at once. The framing of chunks may take 32 bytes for each byte of the body; a chunk of one byte takes six. The statuses are the same as before: 400, 408, 413 and 431. As Hertz looks for a disconnected client only if there is no stream, the server begins and ends that itself; a test sends each kind of body and disconnects.

--- a/internal/api/refusals.go
+++ b/internal/api/refusals.go
@@ -3,23 +3,34 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/baobabsill/baobabsill/internal/outcome"
 )
 
-// hertzRefusals lists the bodies of the replies that Hertz itself sends if it
-// cannot read a request, each with the status, reason and message of the JSON
-// reply that replaces it.
-var hertzRefusals = []struct {
-	body    string
-	status  string
-	reason  outcome.Reason
-	message string
+// unread lists the statuses with which a request is refused that could not be read, each
+// with its reason and message, and the body of Hertz's own reply, if there is one.
+var unread = []struct {
+	status int
+	body   string
+	refusal
 }{
-	{"Request timeout", "408 Request Timeout", outcome.ReasonTimeout, "the request did not arrive in time"},
-	{"Request Entity Too Large", "413 Request Entity Too Large", outcome.ReasonMalformed, "the body is too large"},
-	{"Request Header Fields Too Large", "431 Request Header Fields Too Large", outcome.ReasonMalformed, "the header is too large"},
-	{"Error when parsing request", "400 Bad Request", outcome.ReasonTruncated, "the request is malformed or its body is truncated"},
+	{http.StatusRequestTimeout, "Request timeout", refusal{outcome.ReasonTimeout, "the request did not arrive in time"}},
+	{http.StatusRequestEntityTooLarge, "Request Entity Too Large", refusal{outcome.ReasonMalformed, "the body is too large"}},
+	{http.StatusRequestHeaderFieldsTooLarge, "Request Header Fields Too Large", refusal{outcome.ReasonMalformed, "the header is too large"}},
+	{http.StatusBadRequest, "Error when parsing request", refusal{outcome.ReasonTruncated, "the request is malformed or its body is truncated"}},
+}
+
+// refuseUnread answers a request that could not be read.
+func refuseUnread(c *app.RequestContext, status int) {
+	for _, r := range unread {
+		if r.status == status {
+			writeRefusal(c, status, "", r.refusal)
+			return
+		}
+	}
 }
 
 // rewriteHertzRefusal returns the JSON reply that replaces reply, or nil if reply
@@ -32,12 +43,17 @@
 	if !ok {
 		return nil
 	}
-	for _, r := range hertzRefusals {
+	for _, r := range unread {
 		if string(body) == r.body {
 			doc := fmt.Sprintf(`{"outcome":%q,"reason":%q,"message":%q}`, outcome.Invalid, r.reason, r.message)
-			return fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-				r.status, len(doc), doc)
+			return rawReply(r.status, []byte(doc))
 		}
 	}
 	return nil
 }
+
+// rawReply returns the bytes of a JSON reply that closes its connection.
+func rawReply(status int, body []byte) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), len(body), body)
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -131,11 +131,11 @@
 	if _, err := s.Listen(); err != nil {
 		return err
 	}
+	limits := httpserver.Limits{Head: maxHeaderBytes, Body: s.options.MaxBodyBytes}
 	h := httpserver.New(httpserver.Options{
-		Listener: s.listener, Limits: func() httpserver.Limits { return httpserver.Limits{Head: maxHeaderBytes} },
+		Listener: s.listener, Limits: func() httpserver.Limits { return limits }, Refuse: refuseUnread,
 		ReadTimeout: s.options.ReadTimeout, IdleTimeout: s.options.IdleTimeout,
 		Hertz: []hertzconfig.Option{
-			server.WithMaxRequestBodySize(s.options.MaxBodyBytes),
 			server.WithHandleMethodNotAllowed(true),
 			server.WithExitWaitTime(24 * time.Hour), // the context of Shutdown ends the wait
 		},
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"time"
 
@@ -14,8 +15,13 @@
 	"github.com/baobabsill/baobabsill/internal/listener"
 )
 
-// bufferBytes is the buffer of a connection between requests.
-const bufferBytes = 4 << 10
+const (
+	// bufferBytes is the buffer of a connection between requests.
+	bufferBytes = 4 << 10
+	// maxChunkOverhead bounds the bytes of a chunked body for each byte of its data. A
+	// chunk of one byte has six.
+	maxChunkOverhead = 32
+)
 
 // conn is a connection of Hertz with a buffer of its own. The one of Hertz keeps each
 // segment and a copy of all of them until the request has been answered.
@@ -31,10 +37,15 @@
 	// parsed is set once Hertz has got all that is buffered and has skipped nothing. If
 	// it then asks for one byte more, a head or trailers have no end yet.
 	parsed bool
+	// consumed is how many bytes of a body were read and skipped, with its framing, and
+	// mostConsumed a bound for it.
+	consumed, mostConsumed int
+	// failure is the last error of a read, which Hertz passes on as text only.
+	failure error
 }
 
 func newConn(c network.Conn, raw *listener.Conn, limits func() Limits, cancel context.CancelFunc) *conn {
-	return &conn{Conn: c, raw: raw, limits: limits, cancel: cancel, aborted: make(chan struct{}, 1)}
+	return &conn{Conn: c, raw: raw, limits: limits, cancel: cancel, aborted: make(chan struct{}, 1), mostConsumed: math.MaxInt}
 }
 
 // Len returns how many bytes are buffered.
@@ -44,20 +55,28 @@
 func (c *conn) Peek(n int) ([]byte, error) {
 	if c.parsed && n == c.Len()+1 {
 		if err := c.fillHead(); err != nil {
-			return nil, err
+			return nil, c.fail(err)
 		}
 	} else if err := c.fill(n); err != nil {
-		return nil, err
+		return nil, c.fail(err)
 	}
 	c.parsed = n == c.Len()
 	return c.buf[c.r : c.r+n], nil
 }
 
+func (c *conn) fail(err error) error {
+	c.failure = err
+	return err
+}
+
 // fill reads until n bytes are buffered.
 func (c *conn) fill(n int) error {
 	if c.Len() >= n {
 		return nil
 	}
+	if c.consumed > c.mostConsumed {
+		return hertzerrors.ErrBodyTooLarge
+	}
 	if c.Len() == 0 {
 		c.r, c.w = 0, 0
 	}
@@ -132,9 +151,19 @@
 	}
 	c.r += n
 	c.parsed = false
+	c.consumed += n
 	return nil
 }
 
+// beginBody bounds what is read for a body of limit bytes at most.
+func (c *conn) beginBody(limit int) {
+	c.failure = nil
+	c.consumed, c.mostConsumed = 0, maxChunkOverhead*(limit+bufferBytes)
+}
+
+// endBody ends what beginBody began.
+func (c *conn) endBody() { c.consumed, c.mostConsumed = 0, math.MaxInt }
+
 // Release gives back what the buffer has grown by.
 func (c *conn) Release() error {
 	if len(c.buf) > bufferBytes && c.Len() <= bufferBytes {
@@ -165,7 +194,11 @@
 // Read reads what is buffered, or else from the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.Len() == 0 {
-		return c.raw.Read(b)
+		n, err := c.raw.Read(b)
+		if err != nil {
+			c.failure = err
+		}
+		return n, err
 	}
 	n := copy(b, c.buf[c.r:c.w])
 	return n, c.Skip(n)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -21,6 +23,7 @@
 type Limits struct {
 	// Head bounds the request line with the header fields, and the trailers.
 	Head int
+	Body int
 }
 
 // Options of a server.
@@ -28,6 +31,9 @@
 	Listener *listener.Listener
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// Refuse writes the answer to a request that is not served. It is called with 400,
+	// 408, 413 or 431. The connection is closed afterwards.
+	Refuse func(c *app.RequestContext, status int)
 	// ReadTimeout bounds the reading of one request, IdleTimeout the time between two
 	// requests of a connection.
 	ReadTimeout, IdleTimeout time.Duration
@@ -35,7 +41,8 @@
 	Hertz []hertzconfig.Option
 }
 
-// New returns a server. The caller adds handlers and runs it.
+// New returns a server whose handlers find the whole body in the request. The caller adds
+// handlers and runs it.
 func New(o Options) *server.Hertz {
 	options := append([]hertzconfig.Option{
 		server.WithListener(o.Listener),
@@ -43,6 +50,8 @@
 		server.WithOnAccept(func(c net.Conn) context.Context {
 			return context.WithValue(context.Background(), connKey{}, c.(*listener.Conn))
 		}),
+		server.WithStreamBody(true),
+		server.WithMaxRequestBodySize(math.MaxInt), // readBody has the limit
 		server.WithReadTimeout(o.ReadTimeout),
 		server.WithIdleTimeout(o.IdleTimeout),
 		server.WithDisablePreParseMultipartForm(true),
@@ -50,9 +59,32 @@
 	}, o.Hertz...)
 	h := server.New(options...)
 	h.AddProtocol(suite.HTTP1, &serverFactory{options: h.GetOptions(), name: h.GetServerName(), limits: o.Limits})
+	h.Use(func(ctx context.Context, c *app.RequestContext) { serveWhole(ctx, c, o) })
 	return h
 }
 
+// serveWhole reads the rest of a request and calls the next handlers, or refuses it.
+func serveWhole(ctx context.Context, c *app.RequestContext, o Options) {
+	conn := c.GetConn().(*conn)
+	hadBody := c.Request.IsBodyStream()
+	body, status := conn.readBody(c, o.Limits().Body)
+	c.Request.SetBodyRaw(body) // also drops the stream, which Hertz would read to its end
+	if status != 0 {
+		conn.raw.Linger()
+		c.SetConnectionClose()
+		o.Refuse(c, status)
+		c.Abort()
+		return
+	}
+	if hadBody {
+		// Hertz itself does so only for requests without a body stream.
+		conn.DetectConnectionClose()
+		defer conn.AbortBlockingRead()
+	}
+	c.Next(ctx)
+	c.Request.ResetBody()
+}
+
 type connKey struct{}
 
 // serverFactory creates the server for HTTP/1 of a Hertz engine.
@@ -67,6 +99,7 @@
 	s := http1.NewServer()
 	s.Core = core
 	s.Option = http1.Option{
+		StreamRequestBody:            f.options.StreamRequestBody,
 		MaxRequestBodySize:           f.options.MaxRequestBodySize,
 		DisablePreParseMultipartForm: f.options.DisablePreParseMultipartForm,
 		NoDefaultServerHeader:        f.options.NoDefaultServerHeader,
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 
 	"github.com/baobabsill/baobabsill/internal/listener"
 )
@@ -40,9 +38,9 @@
 	s := &testServer{address: ln.Addr().String(), cancelled: make(chan struct{}, 1)}
 	bounded := listener.New(ln, listener.Options{ReadTimeout: testTimeout})
 	h := New(Options{
-		Listener: bounded, Limits: func() Limits { return Limits{Head: testHeadBytes} },
+		Listener: bounded, Limits: func() Limits { return Limits{Head: testHeadBytes, Body: testBodyBytes} },
+		Refuse:      func(c *app.RequestContext, status int) { c.SetStatusCode(status) },
 		ReadTimeout: testTimeout, IdleTimeout: testTimeout,
-		Hertz: []hertzconfig.Option{server.WithMaxRequestBodySize(testBodyBytes)},
 	})
 	h.Use(func(ctx context.Context, c *app.RequestContext) {
 		if string(c.Path()) == "/wait" {
@@ -146,11 +144,16 @@
 		request, want string
 	}{
 		"body of the limit":          {post("/", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body), fmt.Sprintf("200 / %d", len(body))},
+		"body above":                 {post("/", fmt.Sprintf("Content-Length: %d\r\n", len(body)+1), body), "413 "},
 		"chunked body of the limit":  {chunked("/", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)), fmt.Sprintf("200 / %d", len(body))},
 		"chunks of one byte":         {chunked("/", strings.Repeat("1\r\nb\r\n", len(body))+"0\r\n\r\n"), fmt.Sprintf("200 / %d", len(body))},
+		"chunked body above":         {chunked("/", fmt.Sprintf("%x\r\n%sb\r\n0\r\n\r\n", len(body)+1, body)), "413 "},
+		"chunk size without end":     {chunked("/", "1"+strings.Repeat(" ", maxChunkOverhead*(testBodyBytes+2*bufferBytes))), "413 "},
 		"head of the limit":          {"GET / HTTP/1.1\r\nHost: h\r\n" + field(testHeadBytes-33) + "\r\n", "200 / 0"},
 		"head above":                 {"GET / HTTP/1.1\r\nHost: h\r\n" + field(testHeadBytes) + "\r\n", "431 Request Header Fields Too Large"},
+		"trailers above":             {chunked("/", "0\r\n"+field(testHeadBytes)+"\r\n"), "431 "},
 		"empty line before the head": {"\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", "400 Error when parsing request"},
+		"chunk of a malformed size":  {chunked("/", "x\r\n"), "400 "},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := s.exchange(t, 1, c.request)[0]; got != c.want {
--- a/internal/ingress/admin.go
+++ b/internal/ingress/admin.go
@@ -21,11 +21,8 @@
 	adminIdleTimeout = time.Minute
 )
 
-// adminBodyBytes bounds the bodies of balancers and operators, which have none.
-const adminBodyBytes = 64 << 10
-
-// adminLimits bound the heads of their requests.
-var adminLimits = httpserver.Limits{Head: 16 << 10}
+// adminLimits bound the requests of balancers and operators, which have no body.
+var adminLimits = httpserver.Limits{Head: 16 << 10, Body: 64 << 10}
 
 // Admin is an HTTP server for the load balancer or for operators.
 type Admin struct {
@@ -52,8 +49,7 @@
 		return nil, err
 	}
 	bounded := listener.New(ln, listener.Options{ReadTimeout: adminReadTimeout})
-	a := &Admin{listener: ln, engine: newEngine(bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout,
-		server.WithMaxRequestBodySize(adminBodyBytes))}
+	a := &Admin{listener: ln, engine: newEngine(bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout)}
 	if o.Ready != nil {
 		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
 			status := http.StatusOK
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -39,8 +39,8 @@
 	// idleTimeout bounds the time between two requests of a connection, unless the
 	// configuration sets a shorter one.
 	idleTimeout = 5 * time.Minute
-	// maxBodyBytes and maxHeaderBytes bound the memory for one request before the
-	// configuration's own limits are checked.
+	// maxBodyBytes and maxHeaderBytes bound a request while the configuration sets no
+	// lower limits.
 	maxBodyBytes   = 8 << 20
 	maxHeaderBytes = 256 << 10
 	// headerLimitFactor and requestLineBytes allow for what the limit of the
@@ -84,28 +84,32 @@
 	}
 	logs.RedirectHertz(logger)
 	s := &Server{logger: logger, listener: listener.New(ln, listener.Options{ReadTimeout: readTimeout}), codec: codec, forwarder: forwarder, limits: limits}
-	s.engine = newEngine(s.listener, s.readLimits, readTimeout, idleTimeout,
-		server.WithMaxRequestBodySize(maxBodyBytes))
+	s.engine = newEngine(s.listener, s.readLimits, readTimeout, idleTimeout)
 	s.engine.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)), s.serve)
 	s.engine.NoRoute(func(context.Context, *app.RequestContext) {})
 	return s, nil
 }
 
-func newEngine(ln *listener.Listener, limits func() httpserver.Limits, readTimeout, idleTimeout time.Duration, options ...hertzconfig.Option) *server.Hertz {
+func newEngine(ln *listener.Listener, limits func() httpserver.Limits, readTimeout, idleTimeout time.Duration) *server.Hertz {
 	return httpserver.New(httpserver.Options{
-		Listener: ln, Limits: limits, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		Hertz: append([]hertzconfig.Option{
+		Listener: ln, Limits: limits, Refuse: refuse, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Hertz: []hertzconfig.Option{
 			{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
 			server.WithExitWaitTime(0),
-		}, options...),
+		},
 	})
 }
 
+func refuse(c *app.RequestContext, status int) { c.SetStatusCode(status) }
+
 // readLimits returns the limits for the reading of a request.
 func (s *Server) readLimits() httpserver.Limits {
-	out := httpserver.Limits{Head: maxHeaderBytes}
-	if header := s.limits().HeaderBytes; header > 0 {
-		out.Head = min(out.Head, headerLimitFactor*header+requestLineBytes)
+	in, out := s.limits(), httpserver.Limits{Head: maxHeaderBytes, Body: maxBodyBytes}
+	if in.HeaderBytes > 0 {
+		out.Head = min(out.Head, headerLimitFactor*in.HeaderBytes+requestLineBytes)
+	}
+	if in.BodyBytes > 0 {
+		out.Body = min(out.Body, in.BodyBytes)
 	}
 	return out
 }
@@ -178,8 +182,8 @@
 	c.Response.SetBodyRaw(body)
 }
 
-// refusalStatus returns the status with which a request is refused before it is
-// decoded, or 0 if it is not refused.
+// refusalStatus returns the status with which a request is refused for its head, or 0 if
+// it is not refused.
 func (s *Server) refusalStatus(c *app.RequestContext, headerBytes int) int {
 	limits := s.limits()
 	switch {
@@ -187,8 +191,6 @@
 		return http.StatusBadRequest
 	case limits.HeaderBytes > 0 && headerBytes > limits.HeaderBytes:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case limits.BodyBytes > 0 && len(c.Request.Body()) > limits.BodyBytes:
-		return http.StatusRequestEntityTooLarge
 	}
 	return 0
 }
