Refuse a head with a line without a colon at once

A caller whose head has a line without a colon got no answer until the read timeout of 15 s passed, and held its connection for so long. Hertz takes the line for one that has not arrived whole, and waits for more behind the empty line that ends the head.

When Hertz asks for more although an empty line is there already, the server now fails the read, and Hertz answers 400. The same holds for trailers. Both cases are in TestLimitsOfOneRequest; before, they ended in the timeout of the test and with 408.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -23,6 +23,9 @@
 	maxChunkOverhead = 32
 )
 
+// errMalformedHead ends the reading of a head that is whole and cannot be parsed.
+var errMalformedHead = errors.New("malformed head")
+
 // conn is a connection of Hertz with a buffer of its own. The one of Hertz keeps each
 // segment and a copy of all of them until the request has been answered.
 type conn struct {
@@ -98,6 +101,10 @@
 // all of it again for each segment otherwise.
 func (c *conn) fillHead() error {
 	limit := c.limits().Head
+	if endsHead(c.buf[c.r:c.w], 0) {
+		c.raw.Linger()
+		return errMalformedHead // Hertz waits for more of a line without a colon
+	}
 	for {
 		seen := c.Len()
 		if seen >= limit {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -152,6 +152,8 @@
 		"head of the limit":          {"GET / HTTP/1.1\r\nHost: h\r\n" + field(testHeadBytes-33) + "\r\n", "200 / 0"},
 		"head above":                 {"GET / HTTP/1.1\r\nHost: h\r\n" + field(testHeadBytes) + "\r\n", "431 Request Header Fields Too Large"},
 		"trailers above":             {chunked("/", "0\r\n"+field(testHeadBytes)+"\r\n"), "431 "},
+		"line without a colon":       {"GET / HTTP/1.1\r\nHost: h\r\nmalformed\r\n\r\n", "400 Error when parsing request"},
+		"trailer without a colon":    {chunked("/", "0\r\nmalformed\r\n\r\n"), "400 "},
 		"empty line before the head": {"\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", "400 Error when parsing request"},
 		"chunk of a malformed size":  {chunked("/", "x\r\n"), "400 "},
 	} {
