Give each connection a request context that no other one gets

Hertz takes the request context of a connection from a pool. A context keeps the memory of the largest header that it ever held, up to 0.4 MB for a head of 16 KiB in fields of four bytes, so that connections that hold nothing of their own can be given the memory of those before them.

Each connection now gets a new context, one allocation a connection. The cause was read in the library, and the unit test checks that a context that was given back is not given out again.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"math"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -97,7 +98,7 @@
 // New implements suite.ServerFactory.
 func (f *serverFactory) New(core suite.Core) (protocol.Server, error) {
 	s := http1.NewServer()
-	s.Core = core
+	s.Core = freshContexts{core}
 	s.Option = http1.Option{
 		StreamRequestBody:            f.options.StreamRequestBody,
 		MaxRequestBodySize:           f.options.MaxRequestBodySize,
@@ -123,3 +124,10 @@
 	defer cancel()
 	return s.Server.Serve(ctx, newConn(c, raw, s.limits, cancel))
 }
+
+// freshContexts gives each connection a new request context. Those of the engine's pool
+// keep the memory of the largest header that they ever held.
+type freshContexts struct{ suite.Core }
+
+// GetCtxPool returns a pool that no context comes back to.
+func (f freshContexts) GetCtxPool() *sync.Pool { return &sync.Pool{New: f.Core.GetCtxPool().New} }
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/baobabsill/baobabsill/internal/listener"
 )
@@ -182,3 +184,22 @@
 		}
 	}
 }
+
+// Guards against request contexts that come back to a pool, with the memory of the largest
+// header that they ever held.
+func TestContextsAreNotReused(t *testing.T) {
+	core := freshContexts{pooledCore{pool: &sync.Pool{New: func() any { return new(app.RequestContext) }}}}
+	first := core.GetCtxPool().Get().(*app.RequestContext)
+	core.GetCtxPool().Put(first)
+	if core.GetCtxPool().Get().(*app.RequestContext) == first {
+		t.Error("a context is used again")
+	}
+}
+
+// pooledCore is an engine with a pool of contexts.
+type pooledCore struct {
+	suite.Core
+	pool *sync.Pool
+}
+
+func (c pooledCore) GetCtxPool() *sync.Pool { return c.pool }
