Accept connections again after a process was short of descriptors

600 clients that opened connections to an instance with 400 descriptors, and sent nothing, ended it: "accept4: too many open files", exit status 1. Hertz returns the error of Accept from its server, and the component that fails ends the instance. The server of the peers waited and tried again, but what held the descriptors stayed.

The new package admission keeps account of the connections of each listener. Its Accept fails only once the listener is closed. A connection does not give way while a whole request of its is being served. Callers that have sent part of a request get 408, which says that it has not run; idle connections are closed.

--- a/internal/api/refusals.go
+++ b/internal/api/refusals.go
@@ -31,6 +31,12 @@
 			return
 		}
 	}
+	writeReply(c, status, overloaded)
+}
+
+// overloaded is the reply to a request for which there is no room.
+var overloaded = Reply{
+	Outcome: callerOutcome(outcome.NotRun), Reason: string(outcome.ReasonOverload), Message: "too many clients",
 }
 
 // rewriteHertzRefusal returns the JSON reply that replaces reply, or nil if reply
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -15,6 +15,7 @@
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/gateway"
 	"github.com/baobabsill/baobabsill/internal/httpserver"
 	"github.com/baobabsill/baobabsill/internal/listener"
@@ -61,6 +62,9 @@
 	IdleTimeout time.Duration
 	// Metrics serves /metrics. Without it the path returns 404.
 	Metrics http.Handler
+	// Budget bounds what all callers hold, by default what a process of the default size
+	// gives them.
+	Budget *admission.Budget
 }
 
 // maxHeaderBytes limits the size of the head of a request.
@@ -85,6 +89,9 @@
 	if o.Metrics == nil {
 		o.Metrics = http.NotFoundHandler()
 	}
+	if o.Budget == nil {
+		o.Budget = admission.NewBudget("callers", admission.Divide().Callers)
+	}
 	return o
 }
 
@@ -120,7 +127,8 @@
 		if err != nil {
 			return nil, err
 		}
-		s.listener = listener.New(ln, listener.Options{ReadTimeout: s.options.ReadTimeout, Rewrite: rewriteHertzRefusal})
+		s.listener = listener.New(admission.NewListener(s.logger, ln, s.options.Budget, httpserver.ConnBytes),
+			listener.Options{ReadTimeout: s.options.ReadTimeout, Rewrite: rewriteHertzRefusal})
 	}
 	return s.listener.Addr(), nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/api"
 	"github.com/baobabsill/baobabsill/internal/control"
 	"github.com/baobabsill/baobabsill/internal/dispatch"
@@ -104,10 +105,13 @@
 	})
 	d.once = once.NewManager(logger, once.Self{Name: d.self.Name, Incarnation: d.self.Incarnation}, d.store, d.platform, d.gateway, d)
 	d.janitor = once.NewJanitorController(logger, d.platform, d.isZoneLeader)
-	d.peers = peer.NewServer(logger, s.Instance.PeerListen, peerService{d})
+	plan := admission.Divide()
+	callers, peerCalls := admission.NewBudget("callers", plan.Callers), admission.NewBudget("peers", plan.Peers)
+	d.peers = peer.NewServer(logger, s.Instance.PeerListen, peerCalls, peerService{d})
 	d.api = api.NewServer(logger, api.Options{
 		Listen: s.Instance.CallerListen, MaxBodyBytes: int(s.Limits.MaxBodyBytes),
 		DefaultDeadline: s.Limits.DefaultDeadline, MaxDeadline: s.Limits.MaxDeadline, Metrics: metricsHandler,
+		Budget: callers,
 	}, d.gateway, onceAPI{d.once}, d)
 	return d, nil
 }
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/zeebo/errs"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/api"
 	"github.com/baobabsill/baobabsill/internal/catalog"
 	"github.com/baobabsill/baobabsill/internal/follow"
@@ -78,16 +79,19 @@
 	d.peerConns = peer.NewConns(d.logger, source, peerOptions)
 	d.peers = &peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns}
 	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.peers, d.forwardOptions(s))
-	if d.server, err = ingress.NewServer(logger, s.CallerListen, platform.Ingress{}, d.forwarder, d.limits); err != nil {
+	plan := admission.Divide()
+	callers, peerCalls := admission.NewBudget("callers", plan.Callers), admission.NewBudget("peers", plan.Peers)
+	balancer, operators := admission.NewBudget("balancer", plan.Admin), admission.NewBudget("metrics", plan.Admin)
+	if d.server, err = ingress.NewServer(logger, s.CallerListen, callers, platform.Ingress{}, d.forwarder, d.limits); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if d.balancerServer, err = ingress.NewAdmin(s.ReadyListen, ingress.AdminOptions{ReadyPath: platform.ReadyPath, Ready: d.isReady}); err != nil {
+	if d.balancerServer, err = ingress.NewAdmin(logger, s.ReadyListen, balancer, ingress.AdminOptions{ReadyPath: platform.ReadyPath, Ready: d.isReady}); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if d.operatorServer, err = ingress.NewAdmin(s.MetricsListen, ingress.AdminOptions{Metrics: metricsHandler, Status: d.status}); err != nil {
+	if d.operatorServer, err = ingress.NewAdmin(logger, s.MetricsListen, operators, ingress.AdminOptions{Metrics: metricsHandler, Status: d.status}); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	d.addStoreControllers()
+	d.addStoreControllers(peerCalls)
 	if err := d.peerServer.Listen(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -127,8 +131,9 @@
 }
 
 // addStoreControllers adds the controllers that keep the catalog up to date with
-// the store, those that relay between instances, and the peer server.
-func (d *Daemon) addStoreControllers() {
+// the store, those that relay between instances, and the peer server, whose clients hold
+// what peerBudget allows.
+func (d *Daemon) addStoreControllers(peerBudget *admission.Budget) {
 	s := d.settings.Load()
 	replicaSink := follow.NewReplicaSink(d.logger, d.catalog, d.link)
 	config := follow.NewFollower(d.logger, "configuration", d.link, d.store.Config(),
@@ -145,7 +150,7 @@
 	if len(d.peers.otherSeeds()) > 0 {
 		relay.AwaitSeeds(startWait(s.FirstStart))
 	}
-	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerService{relay, d.forwarder})
+	d.peerServer = peer.NewServer(d.logger, s.PeerListen, peerBudget, peerService{relay, d.forwarder})
 	d.components = append(d.components, replicaSink.Run, zoneSink.Run, instanceSink.Run, d.registrar.Run,
 		config.Run, replicas.Run, evacuations.Run, relay.Run, d.peerServer.Run,
 		func(ctx context.Context) error { return d.forwarder.RunBorrowing(ctx, d.peers) },
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// ConnBytes is what a connection holds before its first request: its buffers, its
+	// request context and its goroutine.
+	ConnBytes = 32 << 10
 	// bufferBytes is the buffer of a connection between requests.
 	bufferBytes = 4 << 10
 	// maxChunkOverhead bounds the bytes of a chunked body for each byte of its data. A
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"math"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -33,7 +34,7 @@
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// Refuse writes the answer to a request that is not served. It is called with 400,
-	// 408, 413 or 431. The connection is closed afterwards.
+	// 408, 413, 431 or 503. The connection is closed afterwards.
 	Refuse func(c *app.RequestContext, status int)
 	// ReadTimeout bounds the reading of one request, IdleTimeout the time between two
 	// requests of a connection.
@@ -70,6 +71,9 @@
 	hadBody := c.Request.IsBodyStream()
 	body, status := conn.readBody(c, o.Limits().Body)
 	c.Request.SetBodyRaw(body) // also drops the stream, which Hertz would read to its end
+	if status == 0 && !conn.raw.BeginServing() {
+		status = http.StatusServiceUnavailable
+	}
 	if status != 0 {
 		conn.raw.Linger()
 		c.SetConnectionClose()
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
+	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/listener"
 )
 
@@ -27,18 +29,19 @@
 // testServer answers each request with its path and the length of its body.
 type testServer struct {
 	address string
+	budget  *admission.Budget
 	// cancelled gets a value when a request to /wait is cancelled.
 	cancelled chan struct{}
 }
 
-func startServer(t *testing.T) *testServer {
+func startServer(t *testing.T, limits admission.Limits) *testServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &testServer{address: ln.Addr().String(), cancelled: make(chan struct{}, 1)}
-	bounded := listener.New(ln, listener.Options{ReadTimeout: testTimeout})
+	s := &testServer{address: ln.Addr().String(), budget: admission.NewBudget("test", limits), cancelled: make(chan struct{}, 1)}
+	bounded := listener.New(admission.NewListener(&log.Logger{Level: log.ErrorLevel}, ln, s.budget, ConnBytes), listener.Options{ReadTimeout: testTimeout})
 	h := New(Options{
 		Listener: bounded, Limits: func() Limits { return Limits{Head: testHeadBytes, Body: testBodyBytes} },
 		Refuse:      func(c *app.RequestContext, status int) { c.SetStatusCode(status) },
@@ -63,6 +66,8 @@
 	return s
 }
 
+var largeLimits = admission.Limits{Conns: 100, Bytes: 32 << 20}
+
 func (s *testServer) dial(t *testing.T) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", s.address)
@@ -115,7 +120,7 @@
 // Guards against a buffer that loses, repeats or holds back bytes, wherever the segments
 // of requests on one connection end.
 func TestRequestsInAnySegments(t *testing.T) {
-	s := startServer(t)
+	s := startServer(t, largeLimits)
 	for _, request := range []string{post("/a", "Content-Length: 3\r\n", "abc"), chunked("/a", "3\r\nabc\r\n0\r\n\r\n")} {
 		for i := range len(request) {
 			if got := s.exchange(t, 1, request[:i], request[i:])[0]; got != "200 /a 3" {
@@ -139,7 +144,7 @@
 // Guards against requests that are refused within the limits, or served or answered late
 // beyond them.
 func TestLimitsOfOneRequest(t *testing.T) {
-	s := startServer(t)
+	s := startServer(t, largeLimits)
 	body := strings.Repeat("b", testBodyBytes)
 	field := func(size int) string { return "x: " + strings.Repeat("v", size) + "\r\n" }
 	for name, c := range map[string]struct {
@@ -169,7 +174,7 @@
 
 // Guards against a request with a body that goes on after its client has disconnected.
 func TestDisconnectCancelsRequestWithBody(t *testing.T) {
-	s := startServer(t)
+	s := startServer(t, largeLimits)
 	for _, request := range []string{post("/wait", "Content-Length: 1\r\n", "b"), chunked("/wait", "1\r\nb\r\n0\r\n\r\n"), "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"} {
 		c := s.dial(t)
 		if _, err := io.WriteString(c, request); err != nil {
@@ -185,6 +190,25 @@
 	}
 }
 
+// Guards against a listener that is full of clients that wait, and takes no others: those
+// that have waited the longest get 408 and give way.
+func TestSlowClientsGiveWay(t *testing.T) {
+	s := startServer(t, admission.Limits{Conns: 2, Bytes: 1 << 20})
+	slow := s.dial(t)
+	if _, err := io.WriteString(slow, post("/", "Content-Length: 10\r\n", "b")); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 * 2 {
+		if got := s.exchange(t, 1, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")[0]; got != "200 / 0" {
+			t.Errorf("answer %q", got)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("the slow client gets %v, %v", resp, err)
+	}
+}
+
 // Guards against request contexts that come back to a pool, with the memory of the largest
 // header that they ever held.
 func TestContextsAreNotReused(t *testing.T) {
--- a/internal/ingress/admin.go
+++ b/internal/ingress/admin.go
@@ -9,7 +9,9 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/httpserver"
 	"github.com/baobabsill/baobabsill/internal/listener"
 )
@@ -42,13 +44,15 @@
 	Status func() any
 }
 
-// NewAdmin returns an Admin that listens on an IP:port.
-func NewAdmin(address string, o AdminOptions) (*Admin, error) {
+// NewAdmin returns an Admin that listens on an IP:port. budget bounds what its clients
+// hold.
+func NewAdmin(logger *log.Logger, address string, budget *admission.Budget, o AdminOptions) (*Admin, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	bounded := listener.New(ln, listener.Options{ReadTimeout: adminReadTimeout})
+	bounded := listener.New(admission.NewListener(logger, ln, budget, httpserver.ConnBytes),
+		listener.Options{ReadTimeout: adminReadTimeout})
 	a := &Admin{listener: ln, engine: newEngine(bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout)}
 	if o.Ready != nil {
 		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/forward"
 	"github.com/baobabsill/baobabsill/internal/httpserver"
 	"github.com/baobabsill/baobabsill/internal/listener"
@@ -47,6 +49,9 @@
 	// configuration does not count of a head: white space and the request line.
 	headerLimitFactor = 2
 	requestLineBytes  = 8 << 10
+	// retryAfter is what a caller is told for whom there is no room, in seconds. The
+	// clients that hold the room give way within less.
+	retryAfter = 1
 	// idleCheckInterval is how often connections are checked for the idle timeout
 	// of the configuration.
 	idleCheckInterval = time.Second
@@ -75,15 +80,19 @@
 	engine    *server.Hertz
 }
 
-// NewServer returns a Server that listens on an IP:port. limits returns the limits
-// in force.
-func NewServer(logger *log.Logger, address string, codec Codec, forwarder Forwarder, limits func() Limits) (*Server, error) {
+// NewServer returns a Server that listens on an IP:port. budget bounds what all callers
+// hold, and limits returns the limits in force.
+func NewServer(logger *log.Logger, address string, budget *admission.Budget, codec Codec, forwarder Forwarder, limits func() Limits) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	logs.RedirectHertz(logger)
-	s := &Server{logger: logger, listener: listener.New(ln, listener.Options{ReadTimeout: readTimeout}), codec: codec, forwarder: forwarder, limits: limits}
+	s := &Server{
+		logger: logger, codec: codec, forwarder: forwarder, limits: limits,
+		listener: listener.New(admission.NewListener(logger, ln, budget, httpserver.ConnBytes),
+			listener.Options{ReadTimeout: readTimeout}),
+	}
 	s.engine = newEngine(s.listener, s.readLimits, readTimeout, idleTimeout)
 	s.engine.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)), s.serve)
 	s.engine.NoRoute(func(context.Context, *app.RequestContext) {})
@@ -100,7 +109,12 @@
 	})
 }
 
-func refuse(c *app.RequestContext, status int) { c.SetStatusCode(status) }
+func refuse(c *app.RequestContext, status int) {
+	c.SetStatusCode(status)
+	if status == http.StatusServiceUnavailable {
+		c.Header("Retry-After", strconv.Itoa(retryAfter))
+	}
+}
 
 // readLimits returns the limits for the reading of a request.
 func (s *Server) readLimits() httpserver.Limits {
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/baobabsill/baobabsill/internal/admission"
 )
 
 // writeTimeout bounds one write, so that a caller that does not read its answer
@@ -22,10 +24,11 @@
 // Conn bounds the time of its writes and tracks whether it has a request in flight: from
 // the first byte of the request to the first read after the answer.
 type Conn struct {
-	net.Conn
+	*admission.Conn
 	listener *Listener
 	busy     atomic.Bool // a request is in flight
 	wrote    atomic.Bool // an answer was begun since the last read that returned data
+	serving  atomic.Bool // between BeginServing and the first read after the answer
 	lingers  atomic.Bool // see Linger
 	// idleSince is when the connection last became idle, in Unix nanoseconds.
 	idleSince atomic.Int64
@@ -41,6 +44,12 @@
 	c.SetReadDeadline(expiredDeadline) //nolint:errcheck // fails only on a closed connection
 }
 
+// BeginServing has to be called once a request is whole. It returns false if the caller
+// has had to give way to others, so that the request must not be served.
+func (c *Conn) BeginServing() bool {
+	return c.serving.Load() || c.Lease().BeginServing() && !c.serving.Swap(true)
+}
+
 // Linger makes Close wait shortly for the end of what the caller sends.
 func (c *Conn) Linger() { c.lingers.Store(true) }
 
@@ -48,11 +57,16 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.wrote.Load() && c.busy.Swap(false) {
 		c.idleSince.Store(time.Now().UnixNano())
+		if c.serving.Swap(false) {
+			c.Lease().EndServing()
+		}
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.wrote.Store(false)
-		c.busy.Store(true)
+		if !c.busy.Swap(true) {
+			c.Lease().Renew()
+		}
 	}
 	return n, err
 }
@@ -74,7 +88,7 @@
 
 // linger closes the sending side and drops what the caller still sends, within bounds.
 func (c *Conn) linger() {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.Conn.(*net.TCPConn)
 	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -7,12 +7,14 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/baobabsill/baobabsill/internal/admission"
 )
 
 // Listener tracks its open connections, so that a shutdown can close idle ones
 // instead of waiting for their callers. It is safe for concurrent use.
 type Listener struct {
-	net.Listener
+	*admission.Listener
 	options Options
 	mu      sync.Mutex
 	closed  bool // new connections are refused
@@ -30,7 +32,7 @@
 }
 
 // New returns a Listener on ln.
-func New(ln net.Listener, options Options) *Listener {
+func New(ln *admission.Listener, options Options) *Listener {
 	return &Listener{Listener: ln, options: options, conns: map[*Conn]struct{}{}}
 }
 
@@ -41,7 +43,7 @@
 		return nil, err
 	}
 	c.SetReadDeadline(time.Now().Add(l.options.ReadTimeout)) //nolint:errcheck // fails only on a closed connection
-	tracked := &Conn{Conn: c, listener: l}
+	tracked := &Conn{Conn: c.(*admission.Conn), listener: l}
 	tracked.idleSince.Store(time.Now().UnixNano())
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -6,6 +6,10 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobabsill/baobabsill/internal/admission"
 )
 
 // lateConn is a connection whose Read has received data but returns only once release
@@ -36,7 +40,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := New(ln, Options{ReadTimeout: time.Minute})
+	budget := admission.NewBudget("test", admission.Limits{Conns: 1, Bytes: 1})
+	l := New(admission.NewListener(&log.Logger{}, ln, budget, 1), Options{ReadTimeout: time.Minute})
 	client, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -47,8 +52,8 @@
 		t.Fatal(err)
 	}
 	conn := accepted.(*Conn)
-	late := &lateConn{Conn: conn.Conn, reading: make(chan struct{}), release: make(chan struct{}), closed: make(chan struct{})}
-	conn.Conn = late
+	late := &lateConn{Conn: conn.Conn.Conn, reading: make(chan struct{}), release: make(chan struct{}), closed: make(chan struct{})}
+	conn.Conn.Conn = late
 	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/baobabsill/baobabsill/internal/admission"
 	"github.com/baobabsill/baobabsill/internal/logs"
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
@@ -21,9 +22,37 @@
 // body of a caller's request.
 const maxRequestBytes = 16 << 20
 
+const (
+	// idleTimeout bounds the time without calls on a connection. Peers close theirs
+	// sooner.
+	idleTimeout = 5 * time.Minute
+	// connBytes is what a connection holds before its first call: its buffers, the
+	// tables of HPACK and its goroutines.
+	connBytes = 48 << 10
+)
+
+type connKey struct{}
+
+// withConn is the ConnContext of a server whose connections come from an
+// admission.Listener.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// serveConn keeps connections with calls from giving way to others.
+func serveConn(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lease := r.Context().Value(connKey{}).(*admission.Conn).Lease(); lease.BeginServing() {
+			defer lease.EndServing()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Server serves the peer protocol to the other instances.
 type Server struct {
 	logger *log.Logger
+	budget *admission.Budget
 	http   *http.Server
 
 	mu       sync.Mutex
@@ -32,17 +61,20 @@
 }
 
 // NewServer returns a server that will listen on address (IP:port) and passes
-// calls to service.
-func NewServer(logger *log.Logger, address string, service peerpb.Peer) *Server {
+// calls to service. budget bounds what all peers hold.
+func NewServer(logger *log.Logger, address string, budget *admission.Budget, service peerpb.Peer) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Server{
 		logger:  logs.OrDiscard(logger),
+		budget:  budget,
 		address: address,
 		http: &http.Server{
-			Handler:           http.MaxBytesHandler(peerpb.NewPeerServer(service), maxRequestBytes),
+			Handler:           serveConn(http.MaxBytesHandler(peerpb.NewPeerServer(service), maxRequestBytes)),
+			ConnContext:       withConn,
 			Protocols:         protocols,
 			ReadHeaderTimeout: 5 * time.Second,
+			IdleTimeout:       idleTimeout,
 			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		},
 	}
@@ -58,7 +90,9 @@
 	}
 	l, err := net.Listen("tcp", s.address)
 	if err == nil {
-		s.listener = l
+		bounded := admission.NewListener(s.logger, l, s.budget, connBytes)
+		bounded.CloseEvicted = true
+		s.listener = bounded
 	}
 	return err
 }
