Bound the connections of each listener

A crowd of connections could take all descriptors of an instance, so that it could neither accept others nor connect to replicas: 399 of 400 were open, and a caller got an answer only as others gave way to the next Accept.

A listener now has a share of the descriptors: 3/8 for callers, 1/8 for peers, 1/64 for the balancer and for metrics; half is left for connections that the instance opens. When it is full, the connection that has waited the longest gives way to the new one. The descriptors come from the settings, which the platform fills in, or from the limit of the system.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -178,3 +178,19 @@
 		t.Errorf("the first connection did not give way: %v", err)
 	}
 }
+
+// Guards against listeners that together take all descriptors or half of the memory, and
+// against one that is left without connections.
+func TestDivide(t *testing.T) {
+	for _, r := range []Resources{{}, {184_000_000, 4100, 0}, {536_000_000, 8192, 1 << 20}, {48 << 20, 64, 0}, {1 << 40, 1 << 20, 1 << 20}} {
+		p := Divide(r)
+		conns := p.Callers.Conns + p.Peers.Conns + 2*p.Admin.Conns
+		bytes := p.Callers.Bytes + p.Peers.Bytes + 2*p.Admin.Bytes
+		if r.Descriptors > 0 && conns > r.Descriptors*3/4 || r.Memory > 0 && bytes > r.Memory/2 {
+			t.Errorf("%+v is divided into %+v", r, p)
+		}
+		if min(p.Callers.Conns, p.Peers.Conns, p.Admin.Conns) < minConns {
+			t.Errorf("%+v: a listener has too few connections: %+v", r, p)
+		}
+	}
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -90,7 +90,7 @@
 		o.Metrics = http.NotFoundHandler()
 	}
 	if o.Budget == nil {
-		o.Budget = admission.NewBudget("callers", admission.Divide().Callers)
+		o.Budget = admission.NewBudget("callers", admission.Divide(admission.Resources{}).Callers)
 	}
 	return o
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,7 @@
 	})
 	d.once = once.NewManager(logger, once.Self{Name: d.self.Name, Incarnation: d.self.Incarnation}, d.store, d.platform, d.gateway, d)
 	d.janitor = once.NewJanitorController(logger, d.platform, d.isZoneLeader)
-	plan := admission.Divide()
+	plan := admission.Divide(admission.Resources{Memory: s.Limits.Memory, Descriptors: s.Limits.Descriptors, LargestBody: s.Limits.MaxBodyBytes})
 	callers, peerCalls := admission.NewBudget("callers", plan.Callers), admission.NewBudget("peers", plan.Peers)
 	d.peers = peer.NewServer(logger, s.Instance.PeerListen, peerCalls, peerService{d})
 	d.api = api.NewServer(logger, api.Options{
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -79,7 +79,7 @@
 	d.peerConns = peer.NewConns(d.logger, source, peerOptions)
 	d.peers = &peers{name: s.Name, zone: s.Zone, ownAddress: s.PeerListen, seeds: s.Seeds, catalog: d.catalog, conns: d.peerConns}
 	d.forwarder = forward.NewForwarder(logger, scope, d.catalog, d.pool, d.peers, d.forwardOptions(s))
-	plan := admission.Divide()
+	plan := admission.Divide(admission.Resources{Memory: s.Memory, Descriptors: s.Descriptors})
 	callers, peerCalls := admission.NewBudget("callers", plan.Callers), admission.NewBudget("peers", plan.Peers)
 	balancer, operators := admission.NewBudget("balancer", plan.Admin), admission.NewBudget("metrics", plan.Admin)
 	if d.server, err = ingress.NewServer(logger, s.CallerListen, callers, platform.Ingress{}, d.forwarder, d.limits); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	goleak.VerifyNone(t)
 	f := &fakePeer{started: make(chan struct{}, 1), cancelled: make(chan struct{}, 1), finish: make(chan struct{})}
-	s := NewServer(nil, "127.0.0.1:0", admission.NewBudget("peers", admission.Divide().Peers), f)
+	s := NewServer(nil, "127.0.0.1:0", admission.NewBudget("peers", admission.Divide(admission.Resources{}).Peers), f)
 	if err := s.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -35,6 +35,9 @@
 	Grace time.Duration
 
 	MaxInFlight int
+	// Memory and Descriptors are what the process has. Zero means a default.
+	Memory      int64 // bytes
+	Descriptors int
 	// CPUShare is the share of the time of a core that this instance has, and CPUSpeed
 	// the speed of that core relative to a usual one.
 	CPUShare, CPUSpeed float64
@@ -67,6 +70,8 @@
 		{"platform.heartbeat", false, "1s", duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Minute)},
 		{"shutdown.grace", false, "6s", duration(&s.Grace, 100*time.Millisecond, 10*time.Minute)},
 		{"limits.max_in_flight", false, "256", integer(&s.MaxInFlight, 1, 100_000)},
+		{"limits.memory", false, "0", resource(size(&s.Memory, minMemory, maxMemory))},
+		{"limits.descriptors", false, "0", resource(integer(&s.Descriptors, minDescriptors, maxDescriptors))},
 		{"limits.cpu_share", false, "0.2", float(&s.CPUShare, 0, 1000)},
 		{"limits.cpu_speed", false, "1", float(&s.CPUSpeed, 0, 1000)},
 		{"retry.ratio", false, "0.2", float(&s.RetryRatio, 0, 10)},
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -34,6 +34,8 @@
 		{"platform.timeout", false, "500ms", duration(&s.Platform.Timeout, 10*time.Millisecond, 10*time.Second)},
 		{"limits.max_in_flight", false, "256", integer(&s.Limits.MaxInFlight, 1, 100_000)},
 		{"limits.max_body_bytes", false, "1MiB", size(&s.Limits.MaxBodyBytes, 1<<10, 64<<20)},
+		{"limits.memory", false, "0", resource(size(&s.Limits.Memory, minMemory, maxMemory))},
+		{"limits.descriptors", false, "0", resource(integer(&s.Limits.Descriptors, minDescriptors, maxDescriptors))},
 		{"limits.default_deadline", false, "2s", duration(&s.Limits.DefaultDeadline, 10*time.Millisecond, 5*time.Minute)},
 		{"limits.max_deadline", false, "30s", duration(&s.Limits.MaxDeadline, 10*time.Millisecond, 5*time.Minute)},
 		{"shutdown.drain_delay", false, "1s", duration(&s.Shutdown.DrainDelay, 0, time.Minute)},
@@ -46,6 +48,24 @@
 	}
 }
 
+// Bounds of what a process may be said to have. A process with less cannot serve.
+const (
+	minMemory      = 48 << 20 // bytes
+	maxMemory      = 1 << 40  // bytes
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
+)
+
+// resource accepts 0, for a default, beside what set accepts.
+func resource(set func(string) error) func(string) error {
+	return func(v string) error {
+		if v == "0" {
+			return nil
+		}
+		return set(v)
+	}
+}
+
 // namePattern is strict because names become parts of object names at the
 // platform.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -154,14 +174,14 @@
 func size(dst *int64, low, high int64) func(string) error {
 	return func(v string) error {
 		digits, unit := v, int64(1)
-		for suffix, factor := range map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20} {
+		for suffix, factor := range map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20, "MB": 1_000_000} {
 			if d, ok := strings.CutSuffix(v, suffix); ok {
 				digits, unit = strings.TrimSpace(d), factor
 			}
 		}
 		n, err := strconv.ParseInt(digits, 10, 64)
 		if err != nil {
-			return fmt.Errorf("bad size %q: want bytes, or a number with the unit KiB or MiB", v)
+			return fmt.Errorf("bad size %q: want bytes, or a number with the unit KiB, MiB or MB", v)
 		}
 		// n is compared with high/unit because n*unit may overflow.
 		if n < 0 || n > high/unit || n*unit < low {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,8 +45,11 @@
 
 // Limits bounds the requests of callers.
 type Limits struct {
-	MaxInFlight     int
-	MaxBodyBytes    int64
+	MaxInFlight  int
+	MaxBodyBytes int64
+	// Memory and Descriptors are what the process has. Zero means a default.
+	Memory          int64 // bytes
+	Descriptors     int
 	DefaultDeadline time.Duration
 	MaxDeadline     time.Duration
 }
