Bound what all clients of a listener hold in memory

A connection is charged for its buffers, for a head with what Hertz and the handler make of it, and for its body before the slice for it grows. If only requests that are being served are left, a new one gets 503 with Retry-After. The memory comes from the settings, and tells the garbage collector too.

--- a/cmd/baobabsill/edge.go
+++ b/cmd/baobabsill/edge.go
@@ -18,6 +18,7 @@
 	logQueue := logs.NewQueue(os.Stdout)
 	defer closeLog(logQueue)
 	logger := newLogger(logQueue, s.LogLevel, s.Name)
+	limitHeap(s.Memory)
 	d, err := edge.New(logger, logQueue, s, path, reload)
 	return runUntilSignal(logger, d, err, signals)
 }
--- a/cmd/baobabsill/main.go
+++ b/cmd/baobabsill/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -77,6 +78,7 @@
 	logQueue := logs.NewQueue(os.Stderr)
 	defer closeLog(logQueue)
 	logger := newLogger(logQueue, s.Log.Level, s.Instance.Name)
+	limitHeap(s.Limits.Memory)
 	d, err := daemon.New(logger, logQueue, s)
 	return runUntilSignal(logger, d, err, signals)
 }
@@ -91,6 +93,18 @@
 	}
 }
 
+// heapShare is the part, heapShare/8, of the memory of the process up to which the garbage
+// collector lets the heap grow freely.
+const heapShare = 7
+
+// limitHeap tells the garbage collector of the memory of the process, in bytes. It does
+// nothing if that is 0, for unknown.
+func limitHeap(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(memory / 8 * heapShare)
+	}
+}
+
 // runner is an instance of the command run or of the command edge.
 type runner interface {
 	Run(stop, force context.Context) error
--- a/internal/api/refusals.go
+++ b/internal/api/refusals.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 
@@ -39,6 +40,15 @@
 	Outcome: callerOutcome(outcome.NotRun), Reason: string(outcome.ReasonOverload), Message: "too many clients",
 }
 
+// overloadedReply returns the bytes of that reply.
+func overloadedReply() []byte {
+	body, err := json.Marshal(overloaded)
+	if err != nil {
+		panic(err) // a constant
+	}
+	return rawReply(http.StatusServiceUnavailable, "Retry-After: 1\r\n", body)
+}
+
 // rewriteHertzRefusal returns the JSON reply that replaces reply, or nil if reply
 // is not a refusal of Hertz.
 func rewriteHertzRefusal(reply []byte) []byte {
@@ -52,14 +62,14 @@
 	for _, r := range unread {
 		if string(body) == r.body {
 			doc := fmt.Sprintf(`{"outcome":%q,"reason":%q,"message":%q}`, outcome.Invalid, r.reason, r.message)
-			return rawReply(r.status, []byte(doc))
+			return rawReply(r.status, "", []byte(doc))
 		}
 	}
 	return nil
 }
 
 // rawReply returns the bytes of a JSON reply that closes its connection.
-func rawReply(status int, body []byte) []byte {
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		status, http.StatusText(status), len(body), body)
+func rawReply(status int, fields string, body []byte) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), fields, len(body), body)
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -128,7 +128,7 @@
 			return nil, err
 		}
 		s.listener = listener.New(admission.NewListener(s.logger, ln, s.options.Budget, httpserver.ConnBytes),
-			listener.Options{ReadTimeout: s.options.ReadTimeout, Rewrite: rewriteHertzRefusal})
+			listener.Options{ReadTimeout: s.options.ReadTimeout, Rewrite: rewriteHertzRefusal, Overloaded: overloadedReply()})
 	}
 	return s.listener.Addr(), nil
 }
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -10,11 +10,19 @@
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 )
 
-// firstBodyBytes is the first size of the buffer for a body.
-const firstBodyBytes = 4 << 10
+const (
+	// freeBodyBytes is the part of a body that ConnBytes includes, and the first size of
+	// the buffer for a body.
+	freeBodyBytes = 4 << 10
+	// bodyCopies is how often the bytes of a body are held while its buffer grows.
+	bodyCopies = 2
+)
 
 // readBody returns the body of a request, or the status with which it is refused.
 func (c *conn) readBody(rc *app.RequestContext, limit int) (body []byte, status int) {
+	if err := c.chargeHead(rc.Request.Header.RawHeaders()); err != nil {
+		return nil, http.StatusServiceUnavailable
+	}
 	if !rc.Request.IsBodyStream() {
 		return nil, 0
 	}
@@ -49,7 +57,11 @@
 			return nil, hertzerrors.ErrBodyTooLarge
 		}
 		if len(data) == cap(data) {
-			data = grow(data, most)
+			grown, err := c.grow(data, most)
+			if err != nil {
+				return nil, err
+			}
+			data = grown
 		}
 		// Hertz buffers as much of a chunk as it is asked for.
 		n, err := r.Read(data[len(data):min(cap(data), len(data)+bufferBytes)])
@@ -67,16 +79,25 @@
 }
 
 // grow returns data with more capacity, of most at most.
-func grow(data []byte, most int) []byte {
-	grown := make([]byte, len(data), min(most, max(firstBodyBytes, 2*cap(data))))
+func (c *conn) grow(data []byte, most int) ([]byte, error) {
+	size := min(most, max(freeBodyBytes, 2*cap(data)))
+	if !c.charge(len(c.buf), c.head, bodyCopies*int64(max(0, size-freeBodyBytes))) {
+		return nil, errOverloaded
+	}
+	grown := make([]byte, len(data), size)
 	copy(grown, data)
-	return grown
+	return grown, nil
 }
 
+// dropBody gives back what the body takes.
+func (c *conn) dropBody() { c.charge(len(c.buf), c.head, 0) }
+
 // refusalStatus returns the status for a request that could not be read.
 func refusalStatus(err error) int {
 	var timeout net.Error
 	switch {
+	case errors.Is(err, errOverloaded):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, hertzerrors.ErrHeaderTooLarge):
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -21,14 +21,23 @@
 	ConnBytes = 32 << 10
 	// bufferBytes is the buffer of a connection between requests.
 	bufferBytes = 4 << 10
+	// headFieldBytes is what a header field takes beside its bytes, and headCopies how
+	// often its bytes are held, once Hertz and the handler have parsed it.
+	headFieldBytes = 256
+	headCopies     = 4
 	// maxChunkOverhead bounds the bytes of a chunked body for each byte of its data. A
 	// chunk of one byte has six.
 	maxChunkOverhead = 32
+	// freeHeadBytes is the part of a parsed head that ConnBytes includes.
+	freeHeadBytes = 8 << 10
 )
 
 // errMalformedHead ends the reading of a head that is whole and cannot be parsed.
 var errMalformedHead = errors.New("malformed head")
 
+// errOverloaded ends the reading of a request for which there is no room.
+var errOverloaded = errors.New("no room for the request")
+
 // conn is a connection of Hertz with a buffer of its own. The one of Hertz keeps each
 // segment and a copy of all of them until the request has been answered.
 type conn struct {
@@ -43,11 +52,14 @@
 	// parsed is set once Hertz has got all that is buffered and has skipped nothing. If
 	// it then asks for one byte more, a head or trailers have no end yet.
 	parsed bool
+
 	// consumed is how many bytes of a body were read and skipped, with its framing, and
 	// mostConsumed a bound for it.
 	consumed, mostConsumed int
 	// failure is the last error of a read, which Hertz passes on as text only.
 	failure error
+	// head is what the largest head so far takes, body what the body takes, in bytes.
+	head, body int64
 }
 
 func newConn(c network.Conn, raw *listener.Conn, limits func() Limits, cancel context.CancelFunc) *conn {
@@ -72,6 +84,13 @@
 
 func (c *conn) fail(err error) error {
 	c.failure = err
+	switch {
+	case errors.Is(err, errOverloaded):
+		c.raw.RefuseOverloaded()
+		c.raw.Linger()
+	case errors.Is(err, errMalformedHead), errors.Is(err, hertzerrors.ErrHeaderTooLarge):
+		c.raw.Linger()
+	}
 	return err
 }
 
@@ -86,7 +105,9 @@
 	if c.Len() == 0 {
 		c.r, c.w = 0, 0
 	}
-	c.reserve(n)
+	if err := c.reserve(n); err != nil {
+		return err
+	}
 	// More than n is read only as far as the smallest buffer has room, so that a long
 	// peek never leaves much behind.
 	end := min(len(c.buf), c.r+max(n, bufferBytes))
@@ -105,16 +126,19 @@
 func (c *conn) fillHead() error {
 	limit := c.limits().Head
 	if endsHead(c.buf[c.r:c.w], 0) {
-		c.raw.Linger()
 		return errMalformedHead // Hertz waits for more of a line without a colon
 	}
+	if err := c.chargeHead(c.buf[c.r:c.w]); err != nil {
+		return err
+	}
 	for {
 		seen := c.Len()
 		if seen >= limit {
-			c.raw.Linger()
 			return hertzerrors.ErrHeaderTooLarge
 		}
-		c.reserve(min(limit, max(seen+1, 2*seen)))
+		if err := c.reserve(min(limit, max(seen+1, 2*seen))); err != nil {
+			return err
+		}
 		m, err := c.raw.Read(c.buf[c.w:min(len(c.buf), c.r+limit)])
 		c.w += m
 		if m == 0 && err != nil {
@@ -122,7 +146,7 @@
 		}
 		// An empty line may begin within the last three bytes that were seen before.
 		if endsHead(c.buf[c.r:c.w], max(0, seen-3)) {
-			return nil
+			return c.chargeHead(c.buf[c.r:c.w])
 		}
 	}
 }
@@ -135,17 +159,21 @@
 }
 
 // reserve makes the buffer hold n bytes from r on.
-func (c *conn) reserve(n int) {
+func (c *conn) reserve(n int) error {
 	if n <= len(c.buf)-c.r {
-		return
+		return nil
 	}
 	size := max(bufferBytes, n)
 	if size <= len(c.buf) {
 		c.w = copy(c.buf, c.buf[c.r:c.w])
 		c.r = 0
-		return
+		return nil
+	}
+	if !c.charge(size, c.head, c.body) {
+		return errOverloaded
 	}
 	c.replaceBuffer(size)
+	return nil
 }
 
 func (c *conn) replaceBuffer(size int) {
@@ -154,6 +182,25 @@
 	c.buf, c.r = buf, 0
 }
 
+// charge sets what the connection holds and returns false if there is no room.
+func (c *conn) charge(buffer int, head, body int64) bool {
+	if !c.raw.Lease().Resize(ConnBytes + int64(max(0, buffer-bufferBytes)) + head + body) {
+		return false
+	}
+	c.head, c.body = head, body
+	return true
+}
+
+// chargeHead charges a head for what it takes once it is parsed. The request context
+// keeps that for later requests of the connection.
+func (c *conn) chargeHead(head []byte) error {
+	parsed := int64(headCopies*len(head)+headFieldBytes*bytes.Count(head, []byte("\n"))) - freeHeadBytes
+	if parsed > c.head && !c.charge(len(c.buf), parsed, c.body) {
+		return errOverloaded
+	}
+	return nil
+}
+
 // Skip drops the next n bytes, which must be buffered.
 func (c *conn) Skip(n int) error {
 	if n > c.Len() {
@@ -178,6 +225,7 @@
 func (c *conn) Release() error {
 	if len(c.buf) > bufferBytes && c.Len() <= bufferBytes {
 		c.replaceBuffer(bufferBytes)
+		c.charge(bufferBytes, c.head, c.body)
 	}
 	return nil
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,4 +1,6 @@
-// Package httpserver builds Hertz servers that read requests within bounds.
+// Package httpserver builds Hertz servers that read requests within bounds: the head,
+// the body and the trailers of each request, and what all clients of a listener hold
+// together.
 package httpserver
 
 import (
@@ -88,6 +90,7 @@
 	}
 	c.Next(ctx)
 	c.Request.ResetBody()
+	conn.dropBody()
 }
 
 type connKey struct{}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -41,7 +41,9 @@
 		t.Fatal(err)
 	}
 	s := &testServer{address: ln.Addr().String(), budget: admission.NewBudget("test", limits), cancelled: make(chan struct{}, 1)}
-	bounded := listener.New(admission.NewListener(&log.Logger{Level: log.ErrorLevel}, ln, s.budget, ConnBytes), listener.Options{ReadTimeout: testTimeout})
+	bounded := listener.New(admission.NewListener(&log.Logger{Level: log.ErrorLevel}, ln, s.budget, ConnBytes), listener.Options{
+		ReadTimeout: testTimeout, Overloaded: []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"),
+	})
 	h := New(Options{
 		Listener: bounded, Limits: func() Limits { return Limits{Head: testHeadBytes, Body: testBodyBytes} },
 		Refuse:      func(c *app.RequestContext, status int) { c.SetStatusCode(status) },
@@ -209,6 +211,25 @@
 	}
 }
 
+// Guards against a request for which there is no room and that is not refused as such, or
+// whose room is not given back.
+func TestRequestWithoutRoomIsRefused(t *testing.T) {
+	s := startServer(t, admission.Limits{Conns: 2, Bytes: 2*ConnBytes + testBodyBytes/2})
+	body := strings.Repeat("b", testBodyBytes)
+	if got := s.exchange(t, 1, post("/", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body))[0]; got != "503 " {
+		t.Errorf("body: answer %q", got)
+	}
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", testHeadBytes/8) + "\r\n"
+	if got := s.exchange(t, 1, head)[0]; got != "503 " {
+		t.Errorf("head: answer %q", got)
+	}
+	for end := time.Now().Add(testTimeout); s.budget.Used() != (admission.Limits{}); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%+v is still held", s.budget.Used())
+		}
+	}
+}
+
 // Guards against request contexts that come back to a pool, with the memory of the largest
 // header that they ever held.
 func TestContextsAreNotReused(t *testing.T) {
--- a/internal/ingress/admin.go
+++ b/internal/ingress/admin.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	bounded := listener.New(admission.NewListener(logger, ln, budget, httpserver.ConnBytes),
-		listener.Options{ReadTimeout: adminReadTimeout})
+		listener.Options{ReadTimeout: adminReadTimeout, Overloaded: overloadedAnswer})
 	a := &Admin{listener: ln, engine: newEngine(bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout)}
 	if o.Ready != nil {
 		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -91,7 +91,7 @@
 	s := &Server{
 		logger: logger, codec: codec, forwarder: forwarder, limits: limits,
 		listener: listener.New(admission.NewListener(logger, ln, budget, httpserver.ConnBytes),
-			listener.Options{ReadTimeout: readTimeout}),
+			listener.Options{ReadTimeout: readTimeout, Overloaded: overloadedAnswer}),
 	}
 	s.engine = newEngine(s.listener, s.readLimits, readTimeout, idleTimeout)
 	s.engine.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)), s.serve)
@@ -99,6 +99,10 @@
 	return s, nil
 }
 
+// overloadedAnswer is that to a request whose head finds no room.
+var overloadedAnswer = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + strconv.Itoa(retryAfter) +
+	"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
 func newEngine(ln *listener.Listener, limits func() httpserver.Limits, readTimeout, idleTimeout time.Duration) *server.Hertz {
 	return httpserver.New(httpserver.Options{
 		Listener: ln, Limits: limits, Refuse: refuse, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -25,11 +25,12 @@
 // the first byte of the request to the first read after the answer.
 type Conn struct {
 	*admission.Conn
-	listener *Listener
-	busy     atomic.Bool // a request is in flight
-	wrote    atomic.Bool // an answer was begun since the last read that returned data
-	serving  atomic.Bool // between BeginServing and the first read after the answer
-	lingers  atomic.Bool // see Linger
+	listener   *Listener
+	busy       atomic.Bool // a request is in flight
+	wrote      atomic.Bool // an answer was begun since the last read that returned data
+	serving    atomic.Bool // between BeginServing and the first read after the answer
+	overloaded atomic.Bool // see RefuseOverloaded
+	lingers    atomic.Bool // see Linger
 	// idleSince is when the connection last became idle, in Unix nanoseconds.
 	idleSince atomic.Int64
 }
@@ -50,6 +51,10 @@
 	return c.serving.Load() || c.Lease().BeginServing() && !c.serving.Swap(true)
 }
 
+// RefuseOverloaded replaces the next answer by that to a request for which there is no
+// room.
+func (c *Conn) RefuseOverloaded() { c.overloaded.Store(true) }
+
 // Linger makes Close wait shortly for the end of what the caller sends.
 func (c *Conn) Linger() { c.lingers.Store(true) }
 
@@ -113,6 +118,9 @@
 
 // replacement returns what is written in place of b, or nil.
 func (c *Conn) replacement(b []byte) []byte {
+	if c.overloaded.Swap(false) && c.listener.options.Overloaded != nil {
+		return c.listener.options.Overloaded
+	}
 	if c.listener.options.Rewrite != nil {
 		return c.listener.options.Rewrite(b)
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -29,6 +29,8 @@
 	// Rewrite returns what is written in place of an answer, or nil to keep it. It
 	// serves to replace the answers that Hertz itself gives to requests it cannot read.
 	Rewrite func(answer []byte) []byte
+	// Overloaded is the answer to a request for which there is no room.
+	Overloaded []byte
 }
 
 // New returns a Listener on ln.
