Bound what the calls of all peers hold before they are whole

Any client of the peers' listener could send a thousand calls on each connection, each with a header of 1 MB and a body of 16 MB, and stop short of their end. Forty of them took 661 MB, headers alone 380 MB, and nothing ended them: the listener had no timeout for a body.

A header has 4 KiB at most, where Twirp's has some 300 bytes; a body may take 10 s and what the share has room for, and 256 KiB are buffered for a connection.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,39 +15,25 @@
 	"github.com/baobabsill/baobabsill/internal/peer/peerpb"
 )
 
-// maxStreams limits the concurrent calls on one connection.
-const maxStreams = 1000
-
-// maxRequestBytes bounds the request of a peer. The largest are those that carry the
-// body of a caller's request.
-const maxRequestBytes = 16 << 20
-
 const (
+	// maxStreams limits the concurrent calls on one connection.
+	maxStreams = 1000
+	// maxRequestBytes bounds the request of a peer. The largest are those that carry the
+	// body of a caller's request.
+	maxRequestBytes = 16 << 20
+	// maxHeaderBytes bounds the header of a call.
+	maxHeaderBytes = 4 << 10
+	// receiveBufferBytes bounds what is buffered of the bodies of a connection.
+	receiveBufferBytes = 256 << 10
+	// bodyTimeout bounds the reading of one request.
+	bodyTimeout = 10 * time.Second
 	// idleTimeout bounds the time without calls on a connection. Peers close theirs
 	// sooner.
 	idleTimeout = 5 * time.Minute
-	// connBytes is what a connection holds before its first call: its buffers, the
-	// tables of HPACK and its goroutines.
-	connBytes = 48 << 10
 )
 
-type connKey struct{}
-
-// withConn is the ConnContext of a server whose connections come from an
-// admission.Listener.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// serveConn keeps connections with calls from giving way to others.
-func serveConn(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if lease := r.Context().Value(connKey{}).(*admission.Conn).Lease(); lease.BeginServing() {
-			defer lease.EndServing()
-		}
-		next.ServeHTTP(w, r)
-	})
-}
+// errNoRoom ends the reading of a request for which there is no room.
+var errNoRoom = errors.New("no room for the request")
 
 // Server serves the peer protocol to the other instances.
 type Server struct {
@@ -70,12 +56,18 @@
 		budget:  budget,
 		address: address,
 		http: &http.Server{
-			Handler:           serveConn(http.MaxBytesHandler(peerpb.NewPeerServer(service), maxRequestBytes)),
+			Handler:           &intake{budget: budget, next: peerpb.NewPeerServer(service)},
 			ConnContext:       withConn,
 			Protocols:         protocols,
 			ReadHeaderTimeout: 5 * time.Second,
+			ReadTimeout:       bodyTimeout,
 			IdleTimeout:       idleTimeout,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+			MaxHeaderBytes:    maxHeaderBytes,
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams:          maxStreams,
+				MaxReceiveBufferPerConnection: receiveBufferBytes,
+				MaxReceiveBufferPerStream:     receiveBufferBytes,
+			},
 		},
 	}
 }
