Bound what frames of peers make the server of HTTP/2 keep

A connection without any call could hold 1 MB at the peers' listener, as the server of the standard library keeps a buffer for the largest frame that it read: 600 of them had the process killed with 1.5 GB. Pings whose answers are not read, or come faster than they are written, took 280 to 333 MB, as up to 10,000 answers are queued for each connection.

The largest frame is now 16 KiB, the least that HTTP/2 allows, and a connection on which nothing can be written for 10 s is closed. A read waits while a write is blocked, and lets other goroutines run before it begins, so that queued answers are written before more of them are asked for.

--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -32,15 +32,14 @@
 
 type connKey struct{}
 
-// withConn is the ConnContext of a server whose connections come from an
-// admission.Listener.
+// withConn is the ConnContext of a server whose connections come from a pacedListener.
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
 // ServeHTTP passes a call on whose body is read within the budget.
 func (i *intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	call := &call{conn: r.Context().Value(connKey{}).(*admission.Conn).Lease(), controller: http.NewResponseController(w)}
+	call := &call{conn: r.Context().Value(connKey{}).(*pacedConn).Lease(), controller: http.NewResponseController(w)}
 	lease, ok := i.budget.AdmitRequest(callBytes, call.evict)
 	if !ok {
 		w.Header().Set("Retry-After", retryAfter)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,8 +25,12 @@
 	maxHeaderBytes = 4 << 10
 	// receiveBufferBytes bounds what is buffered of the bodies of a connection.
 	receiveBufferBytes = 256 << 10
+	// maxFrameBytes bounds a frame of HTTP/2. A connection keeps a buffer for the largest.
+	maxFrameBytes = 16 << 10
 	// bodyTimeout bounds the reading of one request.
 	bodyTimeout = 10 * time.Second
+	// writeTimeout bounds the time in which a peer reads nothing of an answer.
+	writeTimeout = 10 * time.Second
 	// idleTimeout bounds the time without calls on a connection. Peers close theirs
 	// sooner.
 	idleTimeout = 5 * time.Minute
@@ -65,6 +69,8 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 			HTTP2: &http.HTTP2Config{
 				MaxConcurrentStreams:          maxStreams,
+				MaxReadFrameSize:              maxFrameBytes,
+				WriteByteTimeout:              writeTimeout,
 				MaxReceiveBufferPerConnection: receiveBufferBytes,
 				MaxReceiveBufferPerStream:     receiveBufferBytes,
 			},
@@ -84,7 +90,7 @@
 	if err == nil {
 		bounded := admission.NewListener(s.logger, l, s.budget, connBytes)
 		bounded.CloseEvicted = true
-		s.listener = bounded
+		s.listener = pacedListener{bounded}
 	}
 	return err
 }
