Report the clients that reach the limits of a listener

An operator could not see that clients give way or find no room, nor what they hold. Each second, an instance writes one line `client limit` for each listener where that happened, and keeps four metrics by listener: connections, bytes, clients that gave way, clients that found no room. One line a second bounds the log, however many clients there are.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,8 +56,9 @@
 	peers      *peer.Server
 	api        *api.Server
 	metrics    io.Closer
-	// reportDroppedLines counts and logs dropped log lines until its context ends.
-	reportDroppedLines func(context.Context) error
+	// reportDroppedLines counts and logs dropped log lines until its context ends, and
+	// reportClients what the clients hold.
+	reportDroppedLines, reportClients func(context.Context) error
 	// ready is set once the load balancer may send callers to this instance.
 	ready atomic.Bool
 }
@@ -108,6 +109,7 @@
 	plan := admission.Divide(admission.Resources{Memory: s.Limits.Memory, Descriptors: s.Limits.Descriptors, LargestBody: s.Limits.MaxBodyBytes})
 	callers, peerCalls := admission.NewBudget("callers", plan.Callers), admission.NewBudget("peers", plan.Peers)
 	d.peers = peer.NewServer(logger, s.Instance.PeerListen, peerCalls, peerService{d})
+	d.reportClients = func(ctx context.Context) error { return admission.Report(ctx, logger, scope, callers, peerCalls) }
 	d.api = api.NewServer(logger, api.Options{
 		Listen: s.Instance.CallerListen, MaxBodyBytes: int(s.Limits.MaxBodyBytes),
 		DefaultDeadline: s.Limits.DefaultDeadline, MaxDeadline: s.Limits.MaxDeadline, Metrics: metricsHandler,
@@ -130,7 +132,7 @@
 
 	components := []func(context.Context) error{
 		d.peers.Run, d.api.Run, d.sync.Run, d.targets.Run, d.membership.Run,
-		d.placement.Run, d.dispatcher.Run, d.janitor.Run, d.becomeReady, d.reportDroppedLines,
+		d.placement.Run, d.dispatcher.Run, d.janitor.Run, d.becomeReady, d.reportDroppedLines, d.reportClients,
 	}
 	err := lifecycle.Run(stop, force, components, d.shutdown)
 	return errs.Combine(err, d.close())
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -96,7 +96,10 @@
 		return nil, Error.Wrap(err)
 	}
 	d.components = append(d.components, d.server.Run, d.balancerServer.Run, d.operatorServer.Run, d.maintainConnections, d.watchSettings,
-		func(ctx context.Context) error { return logQueue.ReportDropped(ctx, logger, scope) })
+		func(ctx context.Context) error { return logQueue.ReportDropped(ctx, logger, scope) },
+		func(ctx context.Context) error {
+			return admission.Report(ctx, logger, scope, callers, peerCalls, balancer, operators)
+		})
 	return d, nil
 }
 
