End the look for a disconnected client before a body is dropped

What a body took was given back while the goroutine that looks for a disconnected client could still read from the same connection. The two touched no common field, but only just. The look now ends first, and requests without a body skip both. Requests that could not be read leave a line `refused` in the log, with their status. A test sends Expect: 100-continue.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -86,11 +86,13 @@
 	if hadBody {
 		// Hertz itself does so only for requests without a body stream.
 		conn.DetectConnectionClose()
-		defer conn.AbortBlockingRead()
+		defer func() {
+			conn.AbortBlockingRead()
+			c.Request.ResetBody()
+			conn.dropBody()
+		}()
 	}
 	c.Next(ctx)
-	c.Request.ResetBody()
-	conn.dropBody()
 }
 
 type connKey struct{}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -143,6 +143,15 @@
 	}
 }
 
+// Guards against a client that waits in vain to be told to send its body.
+func TestExpectContinue(t *testing.T) {
+	s := startServer(t, largeLimits)
+	got := s.exchange(t, 2, post("/a", "Expect: 100-continue\r\nContent-Length: 3\r\n", ""), "abc")
+	if got[0] != "100 " || got[1] != "200 /a 3" {
+		t.Errorf("answers %q", got)
+	}
+}
+
 // Guards against requests that are refused within the limits, or served or answered late
 // beyond them.
 func TestLimitsOfOneRequest(t *testing.T) {
--- a/internal/ingress/admin.go
+++ b/internal/ingress/admin.go
@@ -53,7 +53,7 @@
 	}
 	bounded := listener.New(admission.NewListener(logger, ln, budget, httpserver.ConnBytes),
 		listener.Options{ReadTimeout: adminReadTimeout, Overloaded: overloadedAnswer})
-	a := &Admin{listener: ln, engine: newEngine(bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout)}
+	a := &Admin{listener: ln, engine: newEngine(logger, bounded, func() httpserver.Limits { return adminLimits }, adminReadTimeout, adminIdleTimeout)}
 	if o.Ready != nil {
 		a.engine.GET(o.ReadyPath, func(_ context.Context, c *app.RequestContext) {
 			status := http.StatusOK
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -93,7 +93,7 @@
 		listener: listener.New(admission.NewListener(logger, ln, budget, httpserver.ConnBytes),
 			listener.Options{ReadTimeout: readTimeout, Overloaded: overloadedAnswer}),
 	}
-	s.engine = newEngine(s.listener, s.readLimits, readTimeout, idleTimeout)
+	s.engine = newEngine(logger, s.listener, s.readLimits, readTimeout, idleTimeout)
 	s.engine.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)), s.serve)
 	s.engine.NoRoute(func(context.Context, *app.RequestContext) {})
 	return s, nil
@@ -103,9 +103,14 @@
 var overloadedAnswer = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + strconv.Itoa(retryAfter) +
 	"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 
-func newEngine(ln *listener.Listener, limits func() httpserver.Limits, readTimeout, idleTimeout time.Duration) *server.Hertz {
+func newEngine(logger *log.Logger, ln *listener.Listener, limits func() httpserver.Limits, readTimeout, idleTimeout time.Duration) *server.Hertz {
 	return httpserver.New(httpserver.Options{
-		Listener: ln, Limits: limits, Refuse: refuse, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Listener: ln, Limits: limits, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Refuse: func(c *app.RequestContext, status int) {
+			logger.Info().Str("event", "refused").Str("listener", ln.Addr().String()).Int("status", status).
+				Msg("a request that could not be read was refused")
+			refuse(c, status)
+		},
 		Hertz: []hertzconfig.Option{
 			{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
 			server.WithExitWaitTime(0),
