Have connections give way for connections only

A new connection at a full listener of peers made calls give way that hold no connection, the longest waiting one after the other, until the turn came to a connection: calls in progress were cut for nothing. The account knows which leases hold a connection; when connections or descriptors are short, only those give way.

TestConnectionsGiveWayForConnections failed before: the request gave way first.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -78,6 +78,21 @@
 	c.wantEvicted(t)
 }
 
+// Guards against requests that give way although only connections are short.
+func TestConnectionsGiveWayForConnections(t *testing.T) {
+	c := newClients(Limits{Conns: 1, Bytes: 100})
+	if _, ok := c.budget.AdmitRequest(1, func() { c.evicted = append(c.evicted, "request") }); !ok {
+		t.Fatal("no room for a request")
+	}
+	c.admit("a", 1)
+	c.admit("b", 1)
+	c.wantEvicted(t, "a")
+	if !c.budget.EvictConn() || c.budget.EvictConn() {
+		t.Error("one connection can be evicted")
+	}
+	c.wantEvicted(t, "b")
+}
+
 // Guards against clients that are closed more slowly than new ones come.
 func TestClosingClientsAreBounded(t *testing.T) {
 	c := newClients(Limits{Conns: 8, Bytes: 1000})
--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -89,11 +89,11 @@
 	return l, ok
 }
 
-// EvictLongestWaiting makes the client give way that has been waited for the longest. It
-// returns false if none is waited for.
-func (b *Budget) EvictLongestWaiting() bool {
+// EvictConn makes the connection give way that has waited for its client the longest. It
+// returns false if none waits.
+func (b *Budget) EvictConn() bool {
 	b.mu.Lock()
-	l := b.longestWaiting(false)
+	l := b.victim(true)
 	if l != nil {
 		b.remove(l)
 	}
@@ -105,20 +105,27 @@
 	return true
 }
 
-// longestWaiting returns the lease that has waited for its client the longest, or nil. If
-// large is set, leases come first that hold more than they began with: when memory is
-// short, idle connections give way last.
-func (b *Budget) longestWaiting(large bool) *Lease {
-	front := b.waiting.Front()
-	if front == nil {
-		return nil
-	}
-	for e := front; large && e != nil; e = e.Next() {
-		if l := e.Value.(*Lease); l.held > l.initial {
+// longestWaiting returns the lease among those that match that has waited for its client
+// the longest, or nil.
+func (b *Budget) longestWaiting(match func(*Lease) bool) *Lease {
+	for e := b.waiting.Front(); e != nil; e = e.Next() {
+		if l := e.Value.(*Lease); match(l) {
 			return l
 		}
 	}
-	return front.Value.(*Lease)
+	return nil
+}
+
+// victim returns the lease that gives way next, or nil. When memory is short, those that
+// hold more than at their start go first, so that idle connections stay.
+func (b *Budget) victim(shortOfConns bool) *Lease {
+	if shortOfConns {
+		return b.longestWaiting((*Lease).isConn)
+	}
+	if l := b.longestWaiting((*Lease).hasGrown); l != nil {
+		return l
+	}
+	return b.longestWaiting(func(*Lease) bool { return true })
 }
 
 // makeRoom takes out leases until need fits, and returns them. Their evict functions
@@ -130,12 +137,12 @@
 		if !shortOfConns && b.used.Bytes+need.Bytes <= b.limits.Bytes {
 			return evicted, true
 		}
-		longest := b.longestWaiting(!shortOfConns)
-		if longest == nil || longest == l || b.isClosingTooMany() {
+		victim := b.victim(shortOfConns)
+		if victim == nil || victim == l || b.isClosingTooMany() {
 			return evicted, false
 		}
-		b.remove(longest)
-		evicted = append(evicted, longest)
+		b.remove(victim)
+		evicted = append(evicted, victim)
 	}
 }
 
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -18,6 +18,9 @@
 	released bool
 }
 
+func (l *Lease) isConn() bool   { return l.conns > 0 }
+func (l *Lease) hasGrown() bool { return l.held > l.initial }
+
 // Resize sets what the lease holds, in bytes. It returns false and leaves the lease as it
 // is if there is no room for more, or if the lease has been evicted.
 func (l *Lease) Resize(bytes int64) bool {
--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -46,7 +46,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		case err != nil:
-			evicted := l.budget.EvictLongestWaiting()
+			evicted := l.budget.EvictConn()
 			l.logger.Warn().Str("event", "accept").Str("listener", l.budget.Name()).Err(err).Bool("evicted", evicted).
 				Msg("a connection could not be accepted")
 			time.Sleep(pause)
