--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -86,11 +86,17 @@
 // expiredDeadline is a deadline in the past, which ends a read at once.
 var expiredDeadline = time.Unix(1, 0)
 
+// InterruptRead ends the current read with a timeout, and later ones until the next
+// deadline is set.
+func (c *Conn) InterruptRead() {
+	c.Conn.SetReadDeadline(expiredDeadline) //nolint:errcheck // fails only on a closed connection
+}
+
 // expire ends the current read and all later ones with a timeout, upon which the server
 // closes the connection.
 func (c *Conn) expire() {
 	c.expired.Store(true)
-	c.Conn.SetReadDeadline(expiredDeadline) //nolint:errcheck // fails only on a closed connection
+	c.InterruptRead()
 }
 
 // SetReadDeadline sets the deadline of reads, unless the connection has been evicted.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -277,6 +277,6 @@
 
 // AbortBlockingRead ends what DetectConnectionClose began.
 func (c *conn) AbortBlockingRead() {
-	c.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // fails only on a closed connection
+	c.raw.InterruptRead()
 	<-c.aborted
 }
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -35,16 +35,6 @@
 	idleSince atomic.Int64
 }
 
-// expiredDeadline is a deadline in the past, which ends a read at once.
-var expiredDeadline = time.Unix(1, 0)
-
-// interruptRead ends the wait for the next request, upon which the server closes the
-// connection. Closing the connection here would lose a request that a concurrent
-// Read has just received; this way it is still served.
-func (c *Conn) interruptRead() {
-	c.SetReadDeadline(expiredDeadline) //nolint:errcheck // fails only on a closed connection
-}
-
 // BeginServing has to be called once a request is whole. It returns false if the caller
 // has had to give way to others, so that the request must not be served.
 func (c *Conn) BeginServing() bool {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -71,14 +71,16 @@
 }
 
 // CloseIdle makes the server close the connections without a request in flight, and
-// returns how many connections are still open. Later connections are refused.
+// returns how many connections are still open. Later connections are refused. It ends the
+// wait for the next request: a close would lose one that a concurrent Read has just
+// received, and this way it is still served.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	for c := range l.conns {
 		if !c.busy.Load() {
-			c.interruptRead()
+			c.InterruptRead()
 		}
 	}
 	return len(l.conns)
@@ -113,7 +115,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if !c.busy.Load() && c.idleSince.Load() < idleBefore {
-			c.interruptRead()
+			c.InterruptRead()
 		}
 	}
 }
