Do not serve calls of peers that gave way as their body ended

A call that had to give way in the moment in which the last of its body was read was still served, though the account no longer held it. Its body now ends with an error. TestCallThatGaveWayIsNotServed failed before: the body ended properly. The lines `refused` name their listener as the other lines do, for the command run too.

--- a/internal/admission/listener.go
+++ b/internal/admission/listener.go
@@ -35,6 +35,9 @@
 	return &Listener{Listener: ln, logger: logger, budget: budget, connBytes: connBytes}
 }
 
+// Name returns the name of the listener in logs and metrics.
+func (l *Listener) Name() string { return l.budget.Name() }
+
 // Accept returns the next connection, a *Conn. Without a free descriptor it closes the
 // connection that has waited the longest, and tries again. The error is that of a closed
 // listener.
@@ -47,7 +50,7 @@
 			return nil, err
 		case err != nil:
 			evicted := l.budget.EvictConn()
-			l.logger.Warn().Str("event", "accept").Str("listener", l.budget.Name()).Err(err).Bool("evicted", evicted).
+			l.logger.Warn().Str("event", "accept").Str("listener", l.Name()).Err(err).Bool("evicted", evicted).
 				Msg("a connection could not be accepted")
 			time.Sleep(pause)
 			pause = min(2*pause, maxAcceptPause)
--- a/internal/api/refusals.go
+++ b/internal/api/refusals.go
@@ -24,8 +24,10 @@
 	{http.StatusBadRequest, "Error when parsing request", refusal{outcome.ReasonTruncated, "the request is malformed or its body is truncated"}},
 }
 
-// refuseUnread answers a request that could not be read.
-func refuseUnread(c *app.RequestContext, status int) {
+// refuseUnread answers a request that could not be read, and logs the status.
+func (s *Server) refuseUnread(c *app.RequestContext, status int) {
+	s.logger.Info().Str("event", "refused").Str("listener", s.listener.Name()).Int("status", status).
+		Msg("a request that could not be read was refused")
 	for _, r := range unread {
 		if r.status == status {
 			writeRefusal(c, status, "", r.refusal)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -141,7 +141,7 @@
 	}
 	limits := httpserver.Limits{Head: maxHeaderBytes, Body: s.options.MaxBodyBytes}
 	h := httpserver.New(httpserver.Options{
-		Listener: s.listener, Limits: func() httpserver.Limits { return limits }, Refuse: refuseUnread,
+		Listener: s.listener, Limits: func() httpserver.Limits { return limits }, Refuse: s.refuseUnread,
 		ReadTimeout: s.options.ReadTimeout, IdleTimeout: s.options.IdleTimeout,
 		Hertz: []hertzconfig.Option{
 			server.WithHandleMethodNotAllowed(true),
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -107,7 +107,7 @@
 	return httpserver.New(httpserver.Options{
 		Listener: ln, Limits: limits, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		Refuse: func(c *app.RequestContext, status int) {
-			logger.Info().Str("event", "refused").Str("listener", ln.Addr().String()).Int("status", status).
+			logger.Info().Str("event", "refused").Str("listener", ln.Name()).Int("status", status).
 				Msg("a request that could not be read was refused")
 			refuse(c, status)
 		},
--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -110,6 +110,9 @@
 	}
 	if errors.Is(err, io.EOF) {
 		b.once.Do(b.call.beginServing)
+		if !b.call.whole {
+			return 0, errNoRoom // the call has given way to others
+		}
 	}
 	return n, err
 }
--- a/internal/peer/intake_test.go
+++ b/internal/peer/intake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +48,22 @@
 	return ok && e.Code() == code
 }
 
+// Guards against a call that is served although it has given way to others.
+func TestCallThatGaveWayIsNotServed(t *testing.T) {
+	budget := admission.NewBudget("test", admission.Limits{Conns: 1, Bytes: 30})
+	lease, ok := budget.AdmitRequest(20, func() {})
+	if !ok {
+		t.Fatal("no room")
+	}
+	body := &chargedBody{ReadCloser: io.NopCloser(strings.NewReader("")), call: &call{conn: newLease(t), lease: lease}}
+	if _, ok := budget.AdmitRequest(20, func() {}); !ok {
+		t.Fatal("the first call does not give way")
+	}
+	if _, err := body.Read(make([]byte, 1)); !errors.Is(err, errNoRoom) {
+		t.Errorf("the body ends with %v", err)
+	}
+}
+
 // Guards against an instance that ends because a call gives way while it ends.
 func TestEvictionOfEndedCall(t *testing.T) {
 	c := &call{conn: newLease(t), lease: newLease(t)}
