Build the programs for tests over processes in one place

The tests of crowds and those of failures each had the same lines that build all programs into a temporary directory. harness.RunWithPrograms does it for both now; the tests and what they check are unchanged.

--- a/standin/crowds/listener_test.go
+++ b/standin/crowds/listener_test.go
@@ -39,7 +39,6 @@
 	if d.process.HasEnded() {
 		t.Fatalf("the process has ended: %v\n%s", d.process.Err(), d.tail())
 	}
-
 	descriptors, err := openDescriptors(d.process.Pid())
 	if err != nil {
 		t.Fatal(err)
--- a/standin/crowds/process_test.go
+++ b/standin/crowds/process_test.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,7 +15,6 @@
 )
 
 const (
-	module = "github.com/baobabsill/baobabsill"
 	// memoryBound is the memory of the smallest machine of the deployments in force.
 	memoryBound = 184_000_000 // bytes
 	// descriptorLimit is the limit of the processes that are short of descriptors, of
@@ -39,21 +37,10 @@
 		fmt.Fprintln(os.Stderr, execLimited(os.Args[2], os.Args[3:]))
 		os.Exit(1)
 	}
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "crowds-bin-")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		defer os.RemoveAll(dir)
+	os.Exit(harness.RunWithPrograms(func(dir string) int {
 		binDir = dir
-		build := exec.Command("go", "build", "-o", binDir+"/", module+"/cmd/...", module+"/standin/cmd/...")
-		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-			return 1
-		}
 		return m.Run()
-	}())
+	}))
 }
 
 // execLimited replaces this process by a program. It returns only if that fails.
--- a/standin/failures/deployment_test.go
+++ b/standin/failures/deployment_test.go
@@ -25,7 +25,6 @@
 )
 
 const (
-	module        = "github.com/baobabsill/baobabsill"
 	firstSnapshot = "s1"
 	nextSnapshot  = "s2"
 	itemsPerShard = 2
@@ -44,21 +43,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "failures-bin-")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		defer os.RemoveAll(dir)
+	os.Exit(harness.RunWithPrograms(func(dir string) int {
 		binDir = dir
-		build := exec.Command("go", "build", "-o", binDir+"/", module+"/cmd/...", module+"/standin/cmd/...")
-		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-			return 1
-		}
 		return m.Run()
-	}())
+	}))
 }
 
 // deployment is a running cluster of three zones with two instances each, and
